--- /dev/null
+++ b/coveflow/constants.py
@@ -0,0 +1,59 @@
+"""Every constant of the service, with its unit and the reason for its value.
+
+Limits of a deployment are not here: they come from the settings file and the cloud.
+Values an operator may change are the defaults of `settings.Tuning`.
+"""
+
+# --- interface limits (the protocol's own) ---------------------------------------------
+MAX_BODY = 64 * 1024  # bytes; request bodies above it are refused with 413
+MAX_TASKS = 100_000  # tasks; largest job a user may submit
+MAX_RENT = 50  # machines; most that one rental request may name
+MAX_RETURN = 100  # machines; most that one return may name
+LIST_PAGE = 500  # machines; largest page of the cloud's list
+STORE_PAGE = 1000  # items; largest page of the state service
+RETURNED_COST_S = 60.0  # s; what a machine costs at the least
+
+# --- state service ---------------------------------------------------------------------
+STORE_TIMEOUT_S = 1.5  # s; answers take ms, sometimes a few hundred: beyond this, unsure
+STORE_CONNECT_S = 0.5  # s; a healthy store accepts at once
+WATCH_HOLD_S = 1.0  # s; how long a watch waits; its return is what proves store contact
+WATCH_PACE_S = 0.1  # s; least time between two watches, so bursts share one answer
+RETRY_S = 0.25  # s; first pause after a failed call, doubled up to RETRY_MAX_S
+RETRY_MAX_S = 2.0  # s; an outage's end is noticed within this
+LEADER_SHARE = 0.6  # part of the store's budgets that the leader may use
+HOLD_LIFE_S = 2.5  # s; a dead member is noticed after this
+HOLD_RENEW_S = 0.6  # s; four renewals fit into a life, so single losses don't matter
+TXN_BYTES = 48 * 1024  # bytes; transactions stay well under the service's 64 KiB
+
+# --- records ---------------------------------------------------------------------------
+CHUNK_TASKS = 1024  # tasks per progress record; alternating ranges stay under 5 KiB
+MACHINE_PLACEMENTS = 200  # placements on one machine's record, keeping it under 8 KiB
+TERMINAL_CACHE = 20_000  # jobs whose final state a node remembers without asking
+
+# --- peers and reports -----------------------------------------------------------------
+PING_S = 0.5  # s between pings to each peer
+PING_TIMEOUT_S = 1.0  # s; an unanswered ping is a miss
+PEER_FRESH_S = 2.0  # s; a peer heard within this counts as reachable
+RELAY_TIMEOUT_S = 2.5  # s; workers wait 4 s for an answer, this leaves room for a fallback
+BOUNCE_S = 6.0  # s; a worker that returns within this of its redirect cannot reach its owner
+CONTACT_MARGIN_S = 4.0  # s; kept between the last possible lease end and cancel_s
+HOLD_ANSWER_S = 0.45  # s; longest an answer waits for the commit of what its report brought
+IDLE_ANSWER_PART = 0.6  # part of report_s an idle machine's answer may wait for new work
+
+# --- machines --------------------------------------------------------------------------
+SILENT_MARGIN_S = 1.5  # s past lease_s before a silent machine is returned
+NOTICE_SILENT_S = 3.0  # s of silence after a spot notice that mean the machine was taken
+BOOT_PATIENCE = 3.0  # times the nominal boot time before a machine that is not up is returned
+BOOT_PATIENCE_S = 30.0  # s added to it
+SUSPECT_JOBS = 3  # jobs that failed with an error on a machine before it is avoided
+ERROR_BACKOFF_S = 2.0  # s; pause of a job whose task failed, doubled with each failure
+ERROR_BACKOFF_MAX_S = 60.0  # s
+DRAIN_SPARE_S = 2.0  # s before a spot machine's end at which saving must be over
+
+# --- planning --------------------------------------------------------------------------
+EVENT_PASS_S = 0.1  # s between two cheap passes, so that exits share one
+COMMIT_PACE_S = 0.08  # s between two scheduling commits, so that changes share one
+HISTORY_WRITE_S = 20.0  # s between two writes of the histories
+HISTORY_BYTES = 6 * 1024  # bytes of one history record, below the smallest value limit seen
+FEATURES_MAX = 400  # feature values kept; the least recently used go first
+CANCEL_RETURN_PART = 0.6  # part of cancel_s after which a machine with unproven ends goes back
--- /dev/null
+++ b/coveflow/fleet.py
@@ -0,0 +1,254 @@
+"""Renting and returning machines: pure decisions from what the plan lacks."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from . import constants as c
+from .model import Flavor, Listed, Machine, Spec
+from .planner import Lack, fit
+from .settings import Objective, Team, Tuning
+
+REFUSED_S = 8.0  # s before a type, zone and kind that was refused is asked for again
+IDLE_FREE_S = 300.0  # s an idle machine is kept where no objective weighs money
+
+
+@dataclass(slots=True, frozen=True)
+class Want:
+    """One rental to ask for."""
+
+    flavor: str
+    zone: str
+    spot: bool
+    count: int
+
+    @property
+    def key(self) -> tuple[str, str, bool]:
+        return (self.flavor, self.zone, self.spot)
+
+    def label(self) -> str:
+        return f"{self.count} {self.flavor} in {self.zone}{' spot' if self.spot else ''}"
+
+
+@dataclass(slots=True)
+class Booting:
+    flavor: str
+    zone: str
+    spot: bool
+    since: float
+
+
+@dataclass(slots=True)
+class Virtual:
+    """Room on a machine that is booting or about to be rented."""
+
+    flavor: Flavor
+    zone: str
+    spot: bool
+    cpus: float
+    ram_gb: float
+    accelerators: float
+
+    def put(self, spec: Spec, count: int) -> int:
+        if not (
+            (spec.types is None or self.flavor.name in spec.types)
+            and (spec.zone is None or spec.zone == self.zone)
+            and (spec.spot or not self.spot)
+        ):
+            return 0
+        took = min(count, fit(self.cpus, self.ram_gb, self.accelerators, spec))
+        self.cpus -= took * spec.cpus
+        self.ram_gb -= took * spec.ram_gb
+        self.accelerators -= took * spec.accelerators
+        return took
+
+
+def virtual(flavor: Flavor, zone: str, spot: bool) -> Virtual:
+    return Virtual(flavor, zone, spot, flavor.cpus, flavor.ram_gb, flavor.accelerators)
+
+
+def money_matters(objectives: list[Objective]) -> bool:
+    return any(o.kind in ("price", "useful") for o in objectives)
+
+
+@dataclass(slots=True)
+class Fleet:
+    booting: dict[str, Booting] = field(default_factory=dict)
+    asked: dict[tuple[str, str, bool], Want] = field(default_factory=dict)
+    closed: dict[tuple[str, str, bool], float] = field(default_factory=dict)
+
+    def knows(self, machine: str) -> bool:
+        return machine in self.booting
+
+    def up(self, machine: str, now: float) -> None:
+        self.booting.pop(machine, None)
+
+    def gone(self, machine: str) -> None:
+        self.booting.pop(machine, None)
+
+    def found(self, row: Listed, now: float) -> None:
+        self.booting[row.machine] = Booting(row.type, row.zone, row.spot, now - row.age_s)
+
+    def rented(self, want: Want, machines: list[str], now: float) -> None:
+        self.asked.pop(want.key, None)
+        for machine in machines:
+            self.booting[machine] = Booting(want.flavor, want.zone, want.spot, now)
+        if len(machines) < want.count:
+            self.closed[want.key] = now + REFUSED_S
+
+    def refused(self, want: Want, now: float) -> None:
+        self.asked.pop(want.key, None)
+        self.closed[want.key] = now + REFUSED_S
+
+    def overdue(self, now: float, flavors: dict[str, Flavor]) -> list[str]:
+        """Machines that should have come up long ago; they cost until they are returned."""
+        late = []
+        for name, boot in self.booting.items():
+            flavor = flavors.get(boot.flavor)
+            nominal = flavor.boot_s if flavor else 60.0
+            if now - boot.since > nominal * c.BOOT_PATIENCE + c.BOOT_PATIENCE_S:
+                late.append(name)
+        for name in late:
+            del self.booting[name]
+        return late
+
+    def decide(
+        self,
+        *,
+        now: float,
+        machines: list[Machine],
+        lacks: list[Lack],
+        flavors: list[Flavor],
+        objectives: list[Objective],
+        tuning: Tuning,
+        teams: dict[str, Team],
+        usage: dict[str, tuple[float, float]],
+        settled: bool,
+    ) -> tuple[list[Want], list[str]]:
+        by_name = {f.name: f for f in flavors}
+        money = money_matters(objectives)
+        wants = self._wants(now, lacks, by_name, money, teams, usage) if settled else []
+        returns = self._returns(now, machines, lacks, tuning, money) if settled else []
+        return wants, returns
+
+    def _wants(
+        self,
+        now: float,
+        lacks: list[Lack],
+        flavors: dict[str, Flavor],
+        money: bool,
+        teams: dict[str, Team],
+        usage: dict[str, tuple[float, float]],
+    ) -> list[Want]:
+        coming = [
+            virtual(flavors[b.flavor], b.zone, b.spot)
+            for b in self.booting.values()
+            if b.flavor in flavors
+        ]
+        for want in self.asked.values():
+            if want.flavor in flavors:
+                coming += [
+                    virtual(flavors[want.flavor], want.zone, want.spot) for _ in range(want.count)
+                ]
+        counts: dict[tuple[str, str, bool], int] = {}
+        for lack in lacks:
+            spec, left = lack.spec, lack.count
+            for machine in coming:
+                if left <= 0:
+                    break
+                left -= machine.put(spec, left)
+            while left > 0:
+                option = self._cheapest(now, spec, lack, left, flavors, money)
+                if option is None:
+                    break
+                flavor, zone, spot = option
+                machine = virtual(flavor, zone, spot)
+                took = machine.put(spec, left)
+                if took <= 0:
+                    break
+                left -= took
+                coming.append(machine)
+                key = (flavor.name, zone, spot)
+                counts[key] = counts.get(key, 0) + 1
+                if counts[key] >= c.MAX_RENT:
+                    break
+        wants = []
+        for key, count in counts.items():
+            want = Want(*key, min(count, c.MAX_RENT))
+            self.asked[key] = want
+            wants.append(want)
+        return wants
+
+    def _cheapest(
+        self,
+        now: float,
+        spec: Spec,
+        lack: Lack,
+        left: int,
+        flavors: dict[str, Flavor],
+        money: bool,
+    ) -> tuple[Flavor, str, bool] | None:
+        best: tuple[tuple[float, ...], tuple[Flavor, str, bool]] | None = None
+        for flavor in flavors.values():
+            if spec.types is not None and flavor.name not in spec.types:
+                continue
+            slots = fit(flavor.cpus, flavor.ram_gb, flavor.accelerators, spec)
+            if slots <= 0:
+                continue
+            if money and lack.planned - now < flavor.boot_s:
+                continue  # running work ends before a new machine could be up
+            for zone in flavor.zones:
+                if spec.zone is not None and zone != spec.zone:
+                    continue
+                for spot in (True, False) if spec.spot else (False,):
+                    key = (flavor.name, zone, spot)
+                    if self.closed.get(key, -math.inf) > now or key in self.asked:
+                        continue
+                    if money:
+                        if not spot and spec.spot and not lack.urgent:
+                            continue
+                        rank = (flavor.rate(spot) / min(slots, max(left, 1)), flavor.boot_s)
+                    else:
+                        rank = (float(spot), flavor.boot_s)
+                    if best is None or rank < best[0]:
+                        best = (rank, (flavor, zone, spot))
+        return best[1] if best else None
+
+    def _returns(
+        self,
+        now: float,
+        machines: list[Machine],
+        lacks: list[Lack],
+        tuning: Tuning,
+        money: bool,
+    ) -> list[str]:
+        idle: list[Machine] = []
+        free = used = 0.0
+        for m in machines:
+            if m.returning or not m.up:
+                continue
+            used += m.flavor.cpus - m.cpus
+            free += m.cpus
+            if m.placements or m.clearing:
+                m.idle_since = None
+                continue
+            if m.idle_since is None:
+                m.idle_since = now
+            idle.append(m)
+        wait = tuning.idle_s if money else IDLE_FREE_S
+        # The dearest per CPU go first.
+        idle.sort(key=lambda m: -m.flavor.rate(m.spot) / max(m.flavor.cpus, 1.0))
+        returns = []
+        for m in idle:
+            if now - (m.idle_since or now) < wait or now - m.born < c.RETURNED_COST_S / 2:
+                continue
+            if m.ends_at is not None:
+                continue
+            if any(m.allowed(lack.spec) for lack in lacks):
+                continue
+            if free - m.flavor.cpus < tuning.spare * used:
+                continue
+            free -= m.flavor.cpus
+            returns.append(m.id)
+        return returns
--- /dev/null
+++ b/coveflow/front.py
@@ -0,0 +1,260 @@
+"""The users' interface: submissions, polls, cancellations and health."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from . import constants as c
+from . import owner as o
+from . import wire
+from .model import Spec, placeable
+from .net import Unavailable
+from .peers import Peers
+from .settings import Settings
+from .store import Conflict, Store
+
+log = logging.getLogger("coveflow.front")
+
+SUBMIT_S = 2.0  # s a submission may spend on the store before the user is told to come back
+POLL_S = 1.2  # s a poll may; users wait 2 s
+BUSY = {"Retry-After": "1"}
+STALE_S = 2.5  # s without store contact after which a node with luckier peers is not healthy
+
+
+class Front:
+    def __init__(
+        self,
+        settings: Settings,
+        owner: o.Owner,
+        store: Store,
+        peers: Peers,
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+        beat: Callable[[bytes], Awaitable[web.StreamResponse]],
+    ) -> None:
+        self.settings, self.owner, self.store, self.peers = settings, owner, store, peers
+        self.clock, self.wall, self.beat = clock, wall, beat
+        self.teams = {team.name: team for team in settings.params.teams}
+        self.waiting: list[tuple[str, Any, asyncio.Future[int | None]]] = []
+        self.batching: asyncio.Task[None] | None = None
+        self.cancels: dict[str, float] = {}  # what this process told users, for its peers
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        path, method = request.path, request.method
+        try:
+            if path == wire.BEAT and method == "POST":
+                return await self.beat(await read_body(request))
+            if path == wire.UP and method == "GET":
+                return web.Response(status=200 if self.healthy() else 503)
+            if path == wire.WORK and method == "POST":
+                return await self.submit(await read_body(request))
+            if path.startswith(wire.WORK + "/"):
+                rest = path[len(wire.WORK) + 1 :]
+                if method == "GET" and wire.JOB_ID.fullmatch(rest):
+                    return await self.poll(rest)
+                name = rest.removesuffix(wire.ABORT)
+                if method == "POST" and rest != name and wire.JOB_ID.fullmatch(name):
+                    await read_body(request)
+                    return await self.abort(name)
+            return answer(404, wire.error("no such path or job"))
+        except TooLarge:
+            return web.Response(status=413, headers={"Connection": "close"})
+        except Unavailable as error:
+            log.debug("%s %s: %s", method, path, error)
+            return web.Response(status=503, headers=BUSY)
+
+    def healthy(self) -> bool:
+        """A blip of the store that all nodes see makes none of them unhealthy."""
+        if not self.owner.flavors:
+            return False
+        stale = self.clock() - self.store.contact > STALE_S
+        return not (stale and self.peers.store_works())
+
+    # --- submissions -------------------------------------------------------------------
+
+    async def submit(self, body: bytes) -> web.StreamResponse:
+        try:
+            spec = wire.read_work(body)
+        except wire.Malformed as error:
+            name = wire.work_id(body)
+            # An accepted id must never get 400, whatever the repeated body holds.
+            known = await self.status(name) if name else None
+            return known or answer(400, wire.error(str(error)))
+        if spec.id in self.owner.terminal or spec.id in self.owner.accepted:
+            known = await self.status(spec.id)
+            if known is not None:
+                return known
+        if not self.owner.flavors:
+            return web.Response(status=503, headers=BUSY)
+        refusal = self.refusal(spec)
+        if refusal:
+            known = await self.status(spec.id)
+            return known or answer(422, wire.error(refusal))
+        if spec.types is not None:
+            types = [name for name in spec.types if name in self.owner.flavors]
+            spec = msgspec.structs.replace(spec, types=types)
+        record = {"spec": msgspec.to_builtins(spec), "at": self.wall()}
+        accepted = await self.accept(spec.id, record)
+        if accepted:
+            log.info("job %s: accepted", spec.id)
+            return answer(201, wire.job_answer(spec.id, "queued"))
+        known = await self.status(spec.id)
+        if known is None:
+            raise Unavailable("the job was there and is not")
+        return known
+
+    def refusal(self, spec: Spec) -> str:
+        """Why the job can never run, or nothing."""
+        team = self.teams.get(spec.team)
+        if team is None:
+            return "unknown team"
+        if not placeable(spec, list(self.owner.flavors.values())):
+            return "a task fits no allowed machine type"
+        count = 1 if spec.kind == "array" else spec.tasks
+        if team.cpus_max > 0 and spec.cpus * count > team.cpus_max + 1e-6:
+            return "more than the team's limit"
+        if team.accelerators_max > 0 and (spec.accelerators * count > team.accelerators_max + 1e-6):
+            return "more than the team's limit"
+        return ""
+
+    async def accept(self, name: str, record: Any) -> bool:
+        """Commit with what else is waiting; False when the job is known already."""
+        future: asyncio.Future[int | None] = asyncio.get_running_loop().create_future()
+        self.waiting.append((name, record, future))
+        if self.batching is None or self.batching.done():
+            self.batching = asyncio.create_task(self._batch())
+        rev = await future
+        if rev is None:
+            return False
+        self.owner.put(o.InboxRows([(o.JOB + name, record, rev)]))
+        return True
+
+    async def _batch(self) -> None:
+        """Submissions that wait at the same time share a transaction."""
+        while self.waiting:
+            limit = max(1, min(self.settings.params.state.txn_ops, 24))
+            taken: dict[str, Any] = {}
+            batch, later = [], []
+            for entry in self.waiting:
+                # Two submissions of one id at once: the second sees the first's outcome.
+                if entry[0] in taken or len(taken) >= limit:
+                    later.append(entry)
+                else:
+                    taken[entry[0]] = entry[1]
+                    batch.append(entry)
+            self.waiting = later
+            guards = {o.JOB + n: 0 for n in taken} | {o.OLD + n: 0 for n in taken}
+            writes = {o.JOB + n: record for n, record in taken.items()}
+            try:
+                rev = await self.store.sure_commit(guards, writes, self.clock() + SUBMIT_S)
+            except Conflict as conflict:
+                known = {key.rsplit("/", 1)[1] for key in conflict.failed}
+                for entry in batch:
+                    if entry[0] in known or not known:
+                        _settle(entry[2], None)
+                    else:
+                        self.waiting.append(entry)  # one conflict must not fail the others
+            except Exception as error:
+                failure = error if isinstance(error, Unavailable) else Unavailable(str(error))
+                if failure is not error:
+                    log.exception("submissions could not be written")
+                for entry in batch:
+                    if not entry[2].done():
+                        entry[2].set_exception(failure)
+            else:
+                for entry in batch:
+                    _settle(entry[2], rev)
+
+    # --- polls and cancellations ---------------------------------------------------------
+
+    async def status(self, name: str) -> web.StreamResponse | None:
+        """The job's state by the store's word, or None if it was never accepted."""
+        final = self.owner.terminal.get(name)
+        if final is not None:
+            return answer(200, wire.job_answer(name, final[0], final[1]))
+        value, _ = await self.store.get(o.JOB + name)
+        if value is not None:
+            done, running = self._counts(name)
+            if value.get("cancel") is not None:
+                return answer(200, wire.job_answer(name, "cancelled", done))
+            state = "running" if running else "queued"
+            return answer(200, wire.job_answer(name, state, done, running))
+        # Jobs only ever move from the one key to the other, so this order misses none.
+        value, _ = await self.store.get(o.OLD + name)
+        if value is None:
+            return None
+        self.owner.remember_terminal(name, value["status"], value["done"])
+        return answer(200, wire.job_answer(name, value["status"], value["done"]))
+
+    def _counts(self, name: str) -> tuple[int, int]:
+        if self.owner.leading:
+            return self.owner.counts.get(name, (0, 0))
+        peer = self.peers.get(self.owner.view.leader)
+        counts = peer.counts.get(name) if peer is not None else None
+        return (counts[0], counts[1]) if counts else (0, 0)
+
+    async def poll(self, name: str) -> web.StreamResponse:
+        try:
+            async with asyncio.timeout(POLL_S):
+                known = await self.status(name)
+        except TimeoutError as error:
+            raise Unavailable("the state service is slow") from error
+        return known or answer(404, wire.error("no such job"))
+
+    async def abort(self, name: str) -> web.StreamResponse:
+        deadline = self.clock() + SUBMIT_S
+        while True:
+            value, rev = await self.store.get(o.JOB + name)
+            if value is None:
+                known = await self.status(name)
+                return known or answer(404, wire.error("no such job"))
+            if value.get("cancel") is None:
+                value = {**value, "cancel": self.wall()}
+                try:
+                    rev = await self.store.sure_commit(
+                        {o.JOB + name: rev}, {o.JOB + name: value}, deadline
+                    )
+                except Conflict:
+                    continue
+                self.owner.put(o.InboxRows([(o.JOB + name, value, rev)]))
+            # Peers must learn of it from this process before its user does.
+            self.cancels[name] = self.clock()
+            log.info("job %s: cancelled by its user", name)
+            return answer(200, wire.job_answer(name, "cancelled"))
+
+    def recent_cancels(self) -> list[str]:
+        limit = self.settings.params.workers.cancel_s * 4
+        now = self.clock()
+        for name in [n for n, at in self.cancels.items() if now - at > limit]:
+            del self.cancels[name]
+        return list(self.cancels)
+
+
+class TooLarge(Exception):
+    """A request body over the limit."""
+
+
+async def read_body(request: web.BaseRequest) -> bytes:
+    if (request.content_length or 0) > c.MAX_BODY:
+        raise TooLarge
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        body += chunk
+        if len(body) > c.MAX_BODY:
+            raise TooLarge
+    return bytes(body)
+
+
+def answer(status: int, body: bytes) -> web.Response:
+    return web.Response(status=status, body=body, content_type="application/cbor")
+
+
+def _settle(future: asyncio.Future[int | None], rev: int | None) -> None:
+    if not future.done():
+        future.set_result(rev)
--- /dev/null
+++ b/coveflow/model.py
@@ -0,0 +1,300 @@
+"""Jobs, attempts and machines as pure state machines: no clock, no input or output."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from . import constants as c
+
+
+class Spec(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a user submitted."""
+
+    id: str
+    workload: str
+    team: str
+    kind: str
+    priority: int
+    tasks: int
+    cpus: float
+    accelerators: float
+    ram_gb: float
+    image: str
+    image_gb: float
+    types: list[str] | None
+    zone: str | None
+    one_zone: bool
+    spread: bool
+    spot: bool
+    expected_s: float
+    checkpoint_s: float
+    save_s: float
+    deadline_s: float | None = None
+
+
+class Flavor(msgspec.Struct, frozen=True):
+    """A machine type of the cloud."""
+
+    name: str
+    cpus: float
+    accelerators: float
+    ram_gb: float
+    cache_gb: float
+    fetch_gb_per_s: float
+    price: float
+    spot_price: float
+    boot_s: float
+    zones: list[str]
+
+    def rate(self, spot: bool) -> float:
+        return self.spot_price if spot else self.price
+
+
+class TaskReport(msgspec.Struct, frozen=True):
+    job: str
+    task: int
+    number: int
+    state: str
+    why: str | None = None
+    saved: bool = False
+
+
+class Report(msgspec.Struct, frozen=True):
+    machine: str
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    tenure: int
+    counter: int
+    epoch: int
+    notice_s: float | None
+    tasks: list[TaskReport]
+
+
+class Order(msgspec.Struct, frozen=True):
+    verb: str
+    job: str
+    task: int
+    number: int
+    grace_s: float = 0.0
+
+
+class Listed(msgspec.Struct, frozen=True):
+    """A row of the cloud's machine list."""
+
+    machine: str
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    state: str
+    age_s: float
+
+
+@dataclass(slots=True)
+class Placement:
+    """One attempt of one task on one machine. It lives until its end is proven."""
+
+    job: str
+    task: int
+    number: int
+    machine: str
+    tenure: int
+    committed: bool = False
+    sent: int = -1  # counter of the report whose answer last carried its run; -1: not by us
+    state: str = ""  # as last reported; "" before that
+    since: float | None = None  # when it was first seen running
+    placed_at: float = 0.0
+    stopping: bool = False
+    grace_s: float = 0.0
+    overrun: int = 0
+
+    @property
+    def key(self) -> tuple[str, int, int]:
+        return (self.job, self.task, self.number)
+
+
+@dataclass(slots=True)
+class Job:
+    spec: Spec
+    arrived: float  # time of day of the acceptance
+    rev: int  # revision of the accepted record
+    run_rev: int = 0
+    chunk_revs: dict[int, int] = field(default_factory=dict)
+    cancelled: float | None = None  # time of day of the cancellation
+    floor: int = 0  # no attempt number up to this may ever be used again
+    done: set[int] = field(default_factory=set)
+    free: list[int] = field(default_factory=list)  # tasks that may be placed, last first
+    placed: dict[int, Placement] = field(default_factory=dict)
+    seen_at: float = 0.0
+    run_sum: float = 0.0  # s, over the completed tasks that were never interrupted
+    run_count: int = 0
+    errors: int = 0
+    not_before: float = 0.0
+    bad_machines: set[str] = field(default_factory=set)
+    guess_s: float = 0.0
+    preempted: int = 0
+    finishing: bool = False
+
+    @property
+    def id(self) -> str:
+        return self.spec.id
+
+    @property
+    def over(self) -> bool:
+        """Nothing is left to run and nothing is left on a machine."""
+        if self.placed:
+            return False
+        return self.cancelled is not None or self.complete
+
+    @property
+    def complete(self) -> bool:
+        return len(self.done) == self.spec.tasks
+
+    def refill(self) -> None:
+        """Recompute the free tasks from what is done and placed."""
+        self.free = [
+            t
+            for t in range(self.spec.tasks - 1, -1, -1)
+            if t not in self.done and t not in self.placed
+        ]
+
+    def next_number(self) -> int:
+        return self.floor + 1
+
+    def place(self, machine: Machine, now: float) -> Placement:
+        task = self.free.pop()
+        p = Placement(self.id, task, self.next_number(), machine.id, machine.tenure, placed_at=now)
+        self.placed[task] = p
+        machine.placements[p.key] = p
+        machine.take(self.spec)
+        return p
+
+    def chunk(self, index: int) -> list[int]:
+        """Completed tasks of one chunk as a flat list: start, length, start, length ..."""
+        low, high = index * c.CHUNK_TASKS, (index + 1) * c.CHUNK_TASKS
+        return ranges(t for t in self.done if low <= t < high)
+
+    def chunks(self) -> int:
+        return (self.spec.tasks + c.CHUNK_TASKS - 1) // c.CHUNK_TASKS
+
+
+@dataclass(slots=True)
+class Machine:
+    id: str
+    address: str
+    flavor: Flavor
+    zone: str
+    spot: bool
+    tenure: int = 0
+    counter: int = -1
+    epoch: int = 0
+    rev: int = 0  # revision of its record; 0: not recorded
+    owner: str = ""
+    placements: dict[tuple[str, int, int], Placement] = field(default_factory=dict)
+    clearing: set[tuple[str, int, int]] = field(default_factory=set)  # ends not committed yet
+    cpus: float = 0.0
+    accelerators: float = 0.0
+    ram_gb: float = 0.0
+    up: bool = False
+    heard: float = 0.0  # when a report last came
+    answered: float = 0.0
+    born: float = 0.0
+    idle_since: float | None = None
+    ends_at: float | None = None  # end announced by a spot notice
+    returning: bool = False
+    suspect: bool = False
+    failed_jobs: set[str] = field(default_factory=set)
+    images: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    speed: float = 1.0
+    speed_n: int = 0
+
+    def __post_init__(self) -> None:
+        self.cpus = self.flavor.cpus
+        self.accelerators = self.flavor.accelerators
+        self.ram_gb = self.flavor.ram_gb
+
+    def fits(self, spec: Spec) -> bool:
+        eps = 1e-6
+        return (
+            self.cpus + eps >= spec.cpus
+            and self.ram_gb + eps >= spec.ram_gb
+            and self.accelerators + eps >= spec.accelerators
+        )
+
+    def take(self, spec: Spec) -> None:
+        self.cpus -= spec.cpus
+        self.accelerators -= spec.accelerators
+        self.ram_gb -= spec.ram_gb
+        if spec.image_gb <= self.flavor.cache_gb:
+            self.images[spec.image] = spec.image_gb
+            self.images.move_to_end(spec.image)
+            while sum(self.images.values()) > self.flavor.cache_gb and len(self.images) > 1:
+                self.images.popitem(last=False)
+
+    def give(self, spec: Spec) -> None:
+        self.cpus += spec.cpus
+        self.accelerators += spec.accelerators
+        self.ram_gb += spec.ram_gb
+
+    def allowed(self, spec: Spec) -> bool:
+        return (
+            (spec.types is None or self.flavor.name in spec.types)
+            and (spec.zone is None or spec.zone == self.zone)
+            and (spec.spot or not self.spot)
+        )
+
+    def record(self) -> dict[str, Any]:
+        """What the store keeps: who may act on it and what may be running there."""
+        jobs: dict[str, dict[int, list[int]]] = {}
+        for p in self.placements.values():
+            jobs.setdefault(p.job, {}).setdefault(p.number, []).append(p.task)
+        tenures = {p.tenure for p in self.placements.values()}
+        return {
+            "owner": self.owner,
+            "address": self.address,
+            "type": self.flavor.name,
+            "zone": self.zone,
+            "spot": self.spot,
+            "tenure": min(tenures, default=self.tenure),
+            "tasks": {
+                job: [[number, ranges(tasks)] for number, tasks in numbers.items()]
+                for job, numbers in jobs.items()
+            },
+        }
+
+
+def ranges(tasks: Any) -> list[int]:
+    """Task numbers as a flat list of starts and lengths."""
+    flat: list[int] = []
+    for task in sorted(tasks):
+        if flat and flat[-2] + flat[-1] == task:
+            flat[-1] += 1
+        else:
+            flat += (task, 1)
+    return flat
+
+
+def unranges(flat: list[int]) -> list[int]:
+    return [
+        task
+        for start, length in zip(flat[::2], flat[1::2], strict=True)
+        for task in range(start, start + length)
+    ]
+
+
+def placeable(spec: Spec, flavors: list[Flavor]) -> bool:
+    """Whether a task of the job fits an empty machine of some type it allows."""
+    return any(
+        (spec.types is None or f.name in spec.types)
+        and (spec.zone is None or spec.zone in f.zones)
+        and f.cpus >= spec.cpus
+        and f.accelerators >= spec.accelerators
+        and f.ram_gb >= spec.ram_gb
+        for f in flavors
+    )
--- /dev/null
+++ b/coveflow/node.py
@@ -0,0 +1,265 @@
+"""One controller: the owner, its clients, its servers, and the tasks that carry out effects."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+import uuid
+from collections.abc import Coroutine
+from typing import Any
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from . import constants as c
+from . import fleet
+from . import owner as o
+from .agents import Agents
+from .cloud import Cloud, NoCapacity
+from .front import Front
+from .membership import Membership
+from .net import Unavailable
+from .peers import Peers
+from .settings import Settings, Tuning, address
+from .store import Conflict, Store
+
+log = logging.getLogger("coveflow.node")
+
+TIMER_S = 0.05  # s between looks at what is due; well below every planning interval
+TICK_S = 0.5  # s between checks of silence, cancellations and late machines
+LIST_S = 4.0  # s between reads of the cloud's machine list
+PRICES_S = 45.0  # s between reads of the cloud's types, for spot prices
+ISOLATED_S = 5.0  # s without any worker or peer that make a node leave the view
+
+
+class Node:
+    def __init__(self, settings: Settings, tuning: Tuning) -> None:
+        self.settings = settings
+        self.clock, self.wall = time.monotonic, time.time
+        params = settings.params
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30.0),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        self.store = Store(
+            self.session, settings.services.state, params.state, params.size, self.clock
+        )
+        self.cloud = Cloud(self.session, settings.services.cloud, params.cloud.rps, self.clock)
+        self.owner = o.Owner(settings, tuning, self.clock, self.wall)
+        self.membership = Membership(settings, self.store, self.owner, self.clock, self.isolated)
+        self.peers = Peers(settings, self.session, self.clock, self.info, self.relayed)
+        self.agents = Agents(
+            settings, self.owner, self.peers, self.clock, lambda: self.membership.known_at
+        )
+        self.front = Front(
+            settings,
+            self.owner,
+            self.store,
+            self.peers,
+            self.clock,
+            self.wall,
+            self.agents.handle,
+        )
+        self.membership.on_contact = self.peers.on_contact
+        self.owner.on_effects = self.effect
+        self.owner.peer_hears = self.peers.hears
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.lead_tasks: set[asyncio.Task[None]] = set()
+
+    # --- what peers are told -------------------------------------------------------------
+
+    def info(self) -> dict[str, Any]:
+        now = self.clock()
+        return {
+            "name": self.settings.name,
+            "boot": self.peers.boot,
+            "epoch": self.owner.view.epoch,
+            "leading": bool(self.owner.leading),
+            "store_age": now - self.store.contact,
+            "cancels": self.front.recent_cancels(),
+            "hears": self.agents.hears(),
+            "counts": self.owner.counts if self.owner.leading else {},
+        }
+
+    async def relayed(self, body: bytes) -> bytes | None:
+        return await self.agents.relayed(body)
+
+    def isolated(self) -> bool:
+        """It has the store but neither workers nor peers, while others could do better."""
+        others = any(name != self.settings.name for name in self.owner.members)
+        now = self.clock()
+        quiet = now - max(self.agents.heard_at, self.peers.heard_at) > ISOLATED_S
+        return quiet and others
+
+    # --- effects -----------------------------------------------------------------------
+
+    def effect(self, kind: str, data: Any) -> None:
+        if kind == "commit":
+            self._spawn(self._commit(data), leading=True)
+        elif kind == "rent":
+            self._spawn(self._rent(data), leading=True)
+        elif kind == "return":
+            for start in range(0, len(data), c.MAX_RETURN):
+                self._spawn(self._return(data[start : start + c.MAX_RETURN]), leading=True)
+        elif kind == "reread":
+            self._spawn(self._reread(data), leading=True)
+        elif kind == "chunks":
+            self._spawn(self._drop_chunks(*data), leading=True)
+        elif kind == "retake":
+            self.membership.retake = True
+        elif kind == "stepped_down":
+            self.store.set_leading(False)
+            for task in self.lead_tasks:
+                task.cancel()
+
+    def _spawn(self, work: Coroutine[Any, Any, None], leading: bool = False) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+        if leading:
+            self.lead_tasks.add(task)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        self.lead_tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("task failed", exc_info=task.exception())
+
+    async def _commit(self, txn: o.Txn) -> None:
+        try:
+            rev = await self.store.sure_commit(txn.guards, txn.writes)
+            self.owner.put(o.Settled(txn, rev))
+        except Conflict as conflict:
+            self.owner.put(o.Settled(txn, None, conflict.failed))
+        except ValueError:
+            log.exception("transaction refused")
+            self.owner.put(o.Settled(txn, None, ["refused"]))
+
+    async def _rent(self, want: fleet.Want) -> None:
+        """Ask under one fresh name until it is answered; a name is never used twice."""
+        name = f"{self.settings.name}-{uuid.uuid4().hex}"
+        pause = c.RETRY_S
+        while True:
+            try:
+                machines = await self.cloud.rent(
+                    name, want.flavor, want.zone, want.spot, want.count
+                )
+                self.owner.put(o.Rented(want, machines))
+                return
+            except NoCapacity:
+                self.owner.put(o.Refused(want))
+                return
+            except Unavailable as error:
+                log.debug("rent: %s", error)
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, c.RETRY_MAX_S)
+
+    async def _return(self, machines: list[str]) -> None:
+        pause = c.RETRY_S
+        while True:
+            try:
+                await self.cloud.give_back(machines)
+                self.owner.put(o.Returned(machines))
+                return
+            except Unavailable as error:
+                log.debug("return: %s", error)
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, c.RETRY_MAX_S)
+
+    async def _reread(self, keys: list[str]) -> None:
+        for key in keys:
+            try:
+                value, rev = await self.store.get(key)
+            except Unavailable:
+                continue  # the next conflict asks again
+            if value is None:
+                self.owner.put(o.Settled(o.Txn({}, {}), None))
+                self.membership.retake = True
+            else:
+                self.owner.put(o.InboxRows([(key, value, rev)]))
+
+    async def _drop_chunks(self, job: str, revs: dict[int, int]) -> None:
+        keys = {f"{o.CHUNK}{job}/{index}": rev for index, rev in revs.items()}
+        names = list(keys)
+        step = self.settings.params.state.txn_ops
+        for start in range(0, len(names), step):
+            part = names[start : start + step]
+            try:
+                await self.store.sure_commit({key: keys[key] for key in part}, dict.fromkeys(part))
+            except Conflict:
+                return
+
+    # --- loops -------------------------------------------------------------------------
+
+    async def _timer(self) -> None:
+        ticked = 0.0
+        while True:
+            await asyncio.sleep(TIMER_S)
+            now = self.clock()
+            if now - ticked >= TICK_S:
+                ticked = now
+                self.owner.put(o.Tick())
+            elif self.owner.leading:
+                self.owner.work([])
+
+    async def _types(self) -> None:
+        """Learn the machine types, and keep them in the store for outages of the cloud."""
+        while True:
+            try:
+                if not self.owner.flavors:
+                    flavors = await self.cloud.flavors()
+                    value = {"types": [msgspec.to_builtins(f) for f in flavors]}
+                    rev = await self.store.sure_commit(
+                        {o.TYPES: 0}, {o.TYPES: value}, self.clock() + 3.0
+                    )
+                    self.owner.put(o.InboxRows([(o.TYPES, value, rev)]))
+                elif self.owner.leading:
+                    self.owner.put(o.Prices(await self.cloud.flavors()))
+                    await asyncio.sleep(PRICES_S)
+            except (Unavailable, Conflict) as error:
+                log.debug("types: %s", error)
+            await asyncio.sleep(0.3 if not self.owner.flavors else 1.0)
+
+    async def _listing(self) -> None:
+        while True:
+            await asyncio.sleep(LIST_S)
+            if not self.owner.leading:
+                continue
+            try:
+                self.owner.put(o.CloudList(await self.cloud.machines()))
+            except Unavailable as error:
+                log.debug("machine list: %s", error)
+
+    async def run(self) -> None:
+        servers = []
+        for where, handler in (
+            (self.settings.front, self.front.handle),
+            (self.settings.cluster_listen, self.peers.handle),
+        ):
+            runner = web.ServerRunner(web.Server(handler, access_log=None))
+            await runner.setup()
+            host, port = address(where)
+            await web.TCPSite(runner, host, port, reuse_address=True, backlog=256).start()
+            servers.append(runner)
+        log.info(
+            "%s in %s serves at %s", self.settings.name, self.settings.zone, self.settings.front
+        )
+        loops = [
+            self.owner.run(),
+            self.membership.run_hold(),
+            self.membership.run_inbox(),
+            self._timer(),
+            self._types(),
+            self._listing(),
+            *(self.peers.run(peer) for peer in self.peers.peers.values()),
+        ]
+        await asyncio.gather(*(self._forever(loop) for loop in loops))
+
+    async def _forever(self, loop: Coroutine[Any, Any, None]) -> None:
+        try:
+            await loop
+        except Exception:
+            log.exception("a loop ended")
+            raise
--- /dev/null
+++ b/coveflow/owner.py
@@ -0,0 +1,1100 @@
+"""The one owner of a node's state: a queue of commands, worked in batches.
+
+On every node it holds the inbox: the view, the live members and the accepted jobs. On the
+leader it also holds the fleet and all attempts. Nothing else changes any of it. What a
+command decides takes effect outside (orders, answers) only after the store has committed it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from . import constants as c
+from . import fleet, planner, wire
+from .estimates import Predictor
+from .model import (
+    Flavor,
+    Job,
+    Listed,
+    Machine,
+    Order,
+    Placement,
+    Report,
+    Spec,
+    unranges,
+)
+from .settings import Settings, Tuning
+
+log = logging.getLogger("coveflow.owner")
+
+INBOX = "in/"
+VIEW = "in/view"
+TYPES = "in/types"
+MEMBER = "in/member/"
+JOB = "in/job/"
+OLD = "old/"
+STATE = "st/"
+RUN = "st/run/"
+CHUNK = "st/chunk/"
+MACHINE = "st/machine/"
+HISTORY = "st/history"
+
+
+@dataclass(slots=True)
+class View:
+    """Who may give commands; `epoch` is the workers' token."""
+
+    epoch: int = 0
+    leader: str = ""
+    members: list[str] = field(default_factory=list)
+    rev: int = 0
+
+
+@dataclass(slots=True)
+class Accepted:
+    spec: Spec
+    at: float
+    rev: int
+    cancelled: float | None
+
+
+@dataclass(slots=True)
+class End:
+    """The proven end of an attempt whose commit is pending."""
+
+    placement: Placement
+    done: bool
+
+
+@dataclass(slots=True)
+class Held:
+    """A report whose answer waits for a commit, or for new work."""
+
+    report: Report
+    reply: asyncio.Future[bytes | None]
+    until: float
+    for_commit: bool
+
+
+# --- commands --------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Heard:
+    report: Report
+    reply: asyncio.Future[bytes | None]
+
+
+@dataclass(slots=True)
+class InboxRows:
+    rows: list[tuple[str, Any, int]]
+    listed: int | None = None  # revision of a full listing; None: these are changes
+    applied: asyncio.Future[None] | None = None
+
+
+@dataclass(slots=True)
+class Lead:
+    epoch: int
+    rev: int
+    rows: list[tuple[str, Any, int]]
+
+
+@dataclass(slots=True)
+class Tick:
+    pass
+
+
+@dataclass(slots=True)
+class Settled:
+    txn: Txn
+    rev: int | None
+    conflict: list[str] | None = None
+
+
+@dataclass(slots=True)
+class CloudList:
+    rows: list[Listed]
+
+
+@dataclass(slots=True)
+class Rented:
+    want: fleet.Want
+    machines: list[str]
+
+
+@dataclass(slots=True)
+class Refused:
+    want: fleet.Want
+
+
+@dataclass(slots=True)
+class Returned:
+    machines: list[str]
+
+
+@dataclass(slots=True)
+class Prices:
+    flavors: list[Flavor]
+
+
+Command = (
+    Heard | InboxRows | Lead | Tick | Settled | CloudList | Rented | Refused | Returned | Prices
+)
+
+
+@dataclass(slots=True)
+class Txn:
+    guards: dict[str, int]
+    writes: dict[str, Any]
+    jobs: list[Job] = field(default_factory=list)
+    chunks: list[tuple[Job, int]] = field(default_factory=list)
+    finished: list[Job] = field(default_factory=list)
+    machines: list[Machine] = field(default_factory=list)
+    removed: list[Machine] = field(default_factory=list)
+    placed: list[Placement] = field(default_factory=list)
+    ends: list[tuple[Machine, End]] = field(default_factory=list)
+    history: bool = False
+
+
+class Owner:
+    def __init__(
+        self,
+        settings: Settings,
+        tuning: Tuning,
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+    ) -> None:
+        self.settings, self.tuning = settings, tuning
+        self.clock, self.wall = clock, wall
+        self.params = settings.params
+        self.teams = {team.name: team for team in self.params.teams}
+        self.queue: asyncio.Queue[Command] = asyncio.Queue()
+        # Inbox, on every node.
+        self.view = View()
+        self.members: dict[str, int] = {}
+        self.accepted: dict[str, Accepted] = {}
+        self.flavors: dict[str, Flavor] = {}
+        self.types_rev = 0
+        self.terminal: OrderedDict[str, tuple[str, int]] = OrderedDict()
+        self.inbox_rev = -1
+        # Leader only.
+        self.leading = 0  # epoch this process leads; 0: it does not
+        self.lead_rev = 0
+        self.on_effects: Callable[[str, Any], None] = lambda kind, data: None
+        self.peer_hears: Callable[[str, float], bool] = lambda machine, within: False
+        self._clear_lead()
+
+    def _clear_lead(self) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.machines: dict[str, Machine] = {}
+        self.unsettled: dict[str, int] = {}
+        self.ends: dict[str, list[End]] = {}
+        self.dirty_jobs: dict[str, None] = {}
+        self.dirty_chunks: dict[tuple[str, int], None] = {}
+        self.dirty_machines: dict[str, None] = {}
+        self.gone: OrderedDict[str, float] = OrderedDict()
+        self.drop: dict[str, None] = {}  # machines proven gone, record not removed yet
+        self.held: dict[str, Held] = {}
+        self.in_flight: Txn | None = None
+        self.next_commit = 0.0
+        self.next_pass = 0.0
+        self.next_cycle = 0.0
+        self.pass_due = False
+        self.last_plan = planner.Plan()
+        self.predictor = Predictor(self.tuning.estimators, self.tuning.decay, self.tuning.recent)
+        self.history_rev = 0
+        self.history_at = 0.0
+        self.history_due = False
+        self.lead_since = 0.0
+        self.fleet = fleet.Fleet()
+        self.listed_at = -math.inf
+        self.counts: dict[str, tuple[int, int]] = {}
+
+    # --- the queue ---------------------------------------------------------------------
+
+    def put(self, command: Command) -> None:
+        self.queue.put_nowait(command)
+
+    async def run(self) -> None:
+        while True:
+            batch = [await self.queue.get()]
+            while not self.queue.empty():
+                batch.append(self.queue.get_nowait())
+            self.work(batch)
+
+    def work(self, batch: list[Command]) -> None:
+        """Apply a batch, then do what it made due."""
+        for command in batch:
+            try:
+                self.apply(command)
+            except Exception:
+                # One bad message must not take the owner, and so the node, down.
+                log.exception("command failed: %s", type(command).__name__)
+        if self.leading:
+            self.advance()
+
+    def apply(self, command: Command) -> None:
+        match command:
+            case Heard():
+                self._heard(command)
+            case InboxRows():
+                self._inbox(command)
+                if command.applied is not None and not command.applied.done():
+                    command.applied.set_result(None)
+            case Lead():
+                self._lead(command)
+            case Tick():
+                if self.leading:
+                    self._tick()
+            case Settled():
+                if command.txn is self.in_flight:
+                    self.in_flight = None
+                    self._settled(command)
+            case CloudList():
+                if self.leading:
+                    self._cloud_list(command.rows)
+            case Rented():
+                if self.leading:
+                    self.fleet.rented(command.want, command.machines, self.clock())
+                    log.info("rented %s: %s", command.want.label(), " ".join(command.machines))
+            case Refused():
+                if self.leading:
+                    self.fleet.refused(command.want, self.clock())
+            case Returned():
+                if self.leading:
+                    for machine in command.machines:
+                        self._machine_gone(machine, "returned")
+            case Prices():
+                for flavor in command.flavors:
+                    self.flavors[flavor.name] = flavor
+
+    # --- inbox -------------------------------------------------------------------------
+
+    def _inbox(self, command: InboxRows) -> None:
+        if command.listed is not None:
+            keys = {key for key, _, _ in command.rows}
+            for name in [n for n in self.members if MEMBER + n not in keys]:
+                del self.members[name]
+            for job in [j for j in self.accepted if JOB + j not in keys]:
+                del self.accepted[job]
+            self.inbox_rev = command.listed
+        for key, value, rev in command.rows:
+            # Changes older than the listing are part of it; told again they would undo it.
+            if command.listed is not None or rev > self.inbox_rev:
+                self._inbox_row(key, value, rev)
+        if self.leading and (self.view.epoch, self.view.leader) != (
+            self.leading,
+            self.settings.name,
+        ):
+            self.step_down("another view is in force")
+
+    def _inbox_row(self, key: str, value: Any, rev: int) -> None:
+        if key == VIEW:
+            if value is not None and rev > self.view.rev:
+                self.view = View(value["epoch"], value["leader"], value["members"], rev)
+                log.info("view: epoch %d, leader %s", self.view.epoch, self.view.leader)
+        elif key == TYPES:
+            if value is not None and rev > self.types_rev:
+                self.types_rev = rev
+                for row in value["types"]:
+                    flavor = msgspec.convert(row, Flavor)
+                    self.flavors.setdefault(flavor.name, flavor)
+        elif key.startswith(MEMBER):
+            name = key[len(MEMBER) :]
+            if value is None:
+                self.members.pop(name, None)
+            else:
+                self.members[name] = rev
+        elif key.startswith(JOB):
+            self._job_row(key[len(JOB) :], value, rev)
+
+    def _job_row(self, name: str, value: Any, rev: int) -> None:
+        if value is None:
+            known = self.accepted.get(name)
+            if known is None or rev > known.rev:
+                self.accepted.pop(name, None)
+            return
+        known = self.accepted.get(name)
+        if known is not None and rev <= known.rev:
+            return
+        spec = known.spec if known is not None else msgspec.convert(value["spec"], Spec)
+        entry = Accepted(spec, value["at"], rev, value.get("cancel"))
+        self.accepted[name] = entry
+        if self.leading:
+            self._adopt_job(entry)
+
+    def remember_terminal(self, job: str, status: str, done: int) -> None:
+        """A final state never changes, so it may be told without asking again."""
+        self.terminal[job] = (status, done)
+        if len(self.terminal) > c.TERMINAL_CACHE:
+            self.terminal.popitem(last=False)
+
+    # --- leadership --------------------------------------------------------------------
+
+    def _lead(self, command: Lead) -> None:
+        if (self.view.epoch, self.view.leader) != (command.epoch, self.settings.name):
+            log.info("epoch %d is over before it began", command.epoch)
+            return
+        self._clear_lead()
+        self.leading, self.lead_rev = command.epoch, command.rev
+        self.lead_since = now = self.clock()
+        runs: dict[str, tuple[Any, int]] = {}
+        chunks: list[tuple[str, int, list[int], int]] = []
+        machines: list[tuple[str, Any, int]] = []
+        for key, value, rev in command.rows:
+            if key.startswith(RUN):
+                runs[key[len(RUN) :]] = (value, rev)
+            elif key.startswith(CHUNK):
+                job, index = key[len(CHUNK) :].rsplit("/", 1)
+                chunks.append((job, int(index), value, rev))
+            elif key.startswith(MACHINE):
+                machines.append((key[len(MACHINE) :], value, rev))
+            elif key == HISTORY:
+                self.history_rev = rev
+                self.predictor.load(value)
+        for entry in self.accepted.values():
+            self._adopt_job(entry)
+        for name, (value, rev) in runs.items():
+            job = self.jobs.get(name)
+            if job is not None:
+                job.run_rev, job.floor = rev, value["floor"]
+                job.done.update(unranges(value["done"]))
+        for name, index, value, rev in chunks:
+            job = self.jobs.get(name)
+            if job is not None:
+                job.chunk_revs[index] = rev
+                job.done.update(unranges(value))
+        for name, value, rev in machines:
+            self._restore_machine(name, value, rev, now)
+        for job in self.jobs.values():
+            job.refill()
+            if job.over:
+                self.dirty_jobs[job.id] = None
+        log.info(
+            "leading epoch %d: %d jobs, %d machines recorded",
+            self.leading,
+            len(self.jobs),
+            len(self.machines),
+        )
+        self.pass_due = True
+        self.next_pass = now + min(1.0, self.params.workers.report_s)
+
+    def _restore_machine(self, name: str, value: Any, rev: int, now: float) -> None:
+        flavor = self.flavors.get(value["type"])
+        if flavor is None:
+            raise ValueError(f"machine {name} has an unknown type")
+        m = Machine(name, value["address"], flavor, value["zone"], value["spot"])
+        m.rev, m.owner, m.tenure = rev, value["owner"], value["tenure"]
+        m.heard = m.born = m.answered = now
+        m.up = True
+        self.machines[name] = m
+        for job_id, rows in value["tasks"].items():
+            job = self.jobs.get(job_id)
+            if job is None:
+                log.error("machine %s records %s, which is over", name, job_id)
+                continue
+            for number, flat in rows:
+                for task in unranges(flat):
+                    p = Placement(
+                        job_id, task, number, name, m.tenure, committed=True, placed_at=now
+                    )
+                    m.placements[p.key] = p
+                    m.take(job.spec)
+                    if task not in job.done or task not in job.placed:
+                        job.placed[task] = p
+
+    def step_down(self, why: str) -> None:
+        if not self.leading:
+            return
+        log.info("no longer leading epoch %d: %s", self.leading, why)
+        held = list(self.held.values())
+        self.leading = 0
+        self._clear_lead()
+        for waiting in held:
+            # Not entitled any more: the worker tries the next node.
+            if not waiting.reply.done():
+                waiting.reply.set_result(None)
+        self.on_effects("stepped_down", why)
+
+    # --- jobs --------------------------------------------------------------------------
+
+    def _adopt_job(self, entry: Accepted) -> None:
+        job = self.jobs.get(entry.spec.id)
+        if job is None:
+            job = Job(entry.spec, entry.at, entry.rev, seen_at=self.clock())
+            job.refill()
+            self.jobs[job.id] = job
+            log.info(
+                "job %s: %d tasks of %s for %s",
+                job.id,
+                job.spec.tasks,
+                job.spec.workload,
+                job.spec.team,
+            )
+        job.rev = max(job.rev, entry.rev)
+        if entry.cancelled is not None and job.cancelled is None:
+            job.cancelled = entry.cancelled
+            log.info("job %s: cancelled, %d tasks to end", job.id, len(job.placed))
+            for p in job.placed.values():
+                p.stopping, p.grace_s = True, 0.0
+                self._wake(p.machine)
+            if job.over:
+                self.dirty_jobs[job.id] = None
+        self.pass_due = True
+
+    def _end(self, p: Placement, done: bool, why: str) -> None:
+        """The attempt is proven gone. Its room is free; its task is, once that is committed."""
+        m = self.machines[p.machine]
+        job = self.jobs[p.job]
+        del m.placements[p.key]
+        m.give(job.spec)
+        m.clearing.add(p.key)
+        self.ends.setdefault(m.id, []).append(End(p, done))
+        self.unsettled[job.id] = self.unsettled.get(job.id, 0) + 1
+        if job.placed.get(p.task) is p:
+            del job.placed[p.task]
+        if done:
+            job.done.add(p.task)
+        else:
+            # Numbers up to this one are spent: a cleared attempt must never be run again.
+            job.floor = max(job.floor, p.number)
+        self._dirty_task(job, p.task)
+        self.dirty_machines[m.id] = None
+        if not done:
+            log.info("task %s/%d try %d on %s: %s", p.job, p.task, p.number, m.id, why)
+        else:
+            log.debug("task %s/%d try %d on %s: done", p.job, p.task, p.number, m.id)
+        if done and job.complete:
+            self._completed(job)
+
+    def _dirty_task(self, job: Job, task: int) -> None:
+        self.dirty_jobs[job.id] = None
+        index = task // c.CHUNK_TASKS
+        if index:
+            self.dirty_chunks[(job.id, index)] = None
+
+    def _completed(self, job: Job) -> None:
+        log.info(
+            "job %s: all %d tasks done after %.1f s",
+            job.id,
+            job.spec.tasks,
+            self.wall() - job.arrived,
+        )
+        if job.run_count and job.spec.kind != "service":
+            self.predictor.observe(job.spec, job.run_sum / job.run_count)
+
+    # --- reports -----------------------------------------------------------------------
+
+    def _heard(self, command: Heard) -> None:
+        report, reply = command.report, command.reply
+        if reply.done():
+            return
+        if not self.leading:
+            reply.set_result(None)
+            return
+        now = self.clock()
+        m = self.machines.get(report.machine)
+        if report.machine in self.gone:
+            # A late report of a machine that was proven gone proves nothing any more.
+            reply.set_result(None)
+            return
+        if m is None:
+            flavor = self.flavors.get(report.type)
+            if flavor is None:
+                reply.set_result(None)
+                return
+            m = self.machines[report.machine] = Machine(
+                report.machine, report.address, flavor, report.zone, report.spot
+            )
+            m.born = now
+            m.owner = self.settings.name
+            self.fleet.up(m.id, now)
+            log.info("machine %s (%s, %s) is up", m.id, m.flavor.name, m.zone)
+        if m.address != report.address:
+            m.address = report.address
+        m.up = True
+        waiting = self.held.pop(m.id, None)
+        if waiting is not None and not waiting.reply.done():
+            # The worker gave that report up; an answer would not be read.
+            waiting.reply.set_result(None)
+        if (report.tenure, report.counter) <= (m.tenure, m.counter) and m.counter >= 0:
+            # Late: its task list is as old as the report. It is answered, not believed.
+            reply.set_result(wire.orders_answer(self.leading, []))
+            return
+        if report.tenure < m.tenure:
+            reply.set_result(wire.orders_answer(self.leading, []))
+            return
+        if report.tenure > m.tenure:
+            # A new tenure: the worker has killed and forgotten all it ran before.
+            for p in list(m.placements.values()):
+                self._end(p, False, "the machine's lease ran out")
+            m.tenure = report.tenure
+        m.counter, m.epoch, m.heard = report.counter, report.epoch, now
+        if report.notice_s is not None:
+            ends = now + report.notice_s
+            if m.ends_at is None:
+                log.info("machine %s will be taken in %.0f s", m.id, report.notice_s)
+            m.ends_at = ends if m.ends_at is None else min(m.ends_at, ends)
+        news = self._tasks(m, report, now)
+        self._drain(m, now)
+        self._answer_or_hold(m, report, reply, news, now)
+
+    def _tasks(self, m: Machine, report: Report, now: float) -> bool:
+        """Take in the report's task list; whether it proves any end."""
+        news = False
+        seen: set[tuple[str, int, int]] = set()
+        for t in report.tasks:
+            key = (t.job, t.task, t.number)
+            seen.add(key)
+            p = m.placements.get(key)
+            if p is None:
+                continue
+            if t.state == "exited":
+                news = True
+                self._exited(m, p, t.why or "", t.saved, now)
+                continue
+            p.state = t.state
+            if t.state == "running" and p.since is None:
+                p.since = now
+        for p in [p for p in m.placements.values() if p.key not in seen]:
+            # Absence proves that the run never started only if the worker has already taken
+            # the current epoch (so no older leader's answer can still reach it) and this
+            # report is newer than the one whose answer last carried the run.
+            if p.stopping and report.epoch == self.leading and report.counter > p.sent:
+                news = True
+                self._end(p, False, "never started")
+        return news
+
+    def _exited(self, m: Machine, p: Placement, why: str, saved: bool, now: float) -> None:
+        job = self.jobs[p.job]
+        done = why == "done"
+        # A task that went on from a checkpoint ran only part of its work here.
+        fresh = job.spec.checkpoint_s <= 0 or p.number == 1
+        if done and p.since is not None and fresh:
+            run_s = max(now - p.since, 0.1)
+            if job.run_count >= 5:
+                # Only a job whose own tasks were seen says something about a machine's speed.
+                m.speed_n += 1
+                ratio = min(max(run_s * job.run_count / job.run_sum, 0.3), 4.0)
+                m.speed += (ratio - m.speed) / min(m.speed_n + 4, 20)
+            job.run_sum += run_s
+            job.run_count += 1
+        self._end(p, done, why)
+        if job.spec.kind == "gang":
+            self._gang_ended(job, p, done)
+        if why == "error":
+            job.errors += 1
+            job.bad_machines.add(m.id)
+            m.failed_jobs.add(job.id)
+            pause = min(c.ERROR_BACKOFF_S * 2 ** min(job.errors, 10), c.ERROR_BACKOFF_MAX_S)
+            if job.errors > 2:
+                job.not_before = now + pause
+                if len(job.bad_machines) >= max(3, len(self.machines) // 2):
+                    job.bad_machines.clear()  # it fails everywhere: no machine is to blame
+            if len(m.failed_jobs) >= c.SUSPECT_JOBS and not m.suspect:
+                m.suspect = True
+                log.warning("machine %s: tasks of %d jobs failed", m.id, len(m.failed_jobs))
+        elif why in ("full", "busy", "unknown"):
+            job.not_before = max(job.not_before, now + 1.0)
+
+    def _gang_ended(self, job: Job, p: Placement, done: bool) -> None:
+        """A gang completes together, and falls apart together."""
+        for mate in job.placed.values():
+            if mate.number != p.number:
+                continue
+            if done:
+                job.done.add(mate.task)
+                self._dirty_task(job, mate.task)
+            elif not mate.stopping:
+                mate.stopping = True
+                mate.grace_s = max(job.spec.save_s, self.params.workers.gang_peer_s)
+                self._wake(mate.machine)
+        if done and job.complete:
+            self._completed(job)
+
+    def _drain(self, m: Machine, now: float) -> None:
+        """Save what can be saved before the cloud takes a spot machine."""
+        if m.ends_at is None:
+            return
+        for p in m.placements.values():
+            job = self.jobs[p.job]
+            if p.stopping or job.spec.checkpoint_s <= 0:
+                continue
+            # The notice may be half as long as announced, so saving starts by half time.
+            if m.ends_at - now <= 2 * (job.spec.save_s + c.DRAIN_SPARE_S):
+                p.stopping, p.grace_s = True, job.spec.save_s + 1.0
+
+    # --- answers -----------------------------------------------------------------------
+
+    def _wake(self, machine: str) -> None:
+        waiting = self.held.get(machine)
+        if waiting is not None:
+            waiting.until = 0.0
+
+    def _answer_or_hold(
+        self,
+        m: Machine,
+        report: Report,
+        reply: asyncio.Future[bytes | None],
+        news: bool,
+        now: float,
+    ) -> None:
+        held = Held(report, reply, 0.0, news)
+        if news:
+            # The commit of these ends will often bring the next run for the same worker.
+            held.until = now + c.HOLD_ANSWER_S
+            self.pass_due = True
+        elif not self._orders(m, report, peek=True) and self._may_wait(m):
+            held.until = now + c.IDLE_ANSWER_PART * self.params.workers.report_s
+        if held.until > now:
+            self.held[m.id] = held
+        else:
+            self._answer(m, held)
+
+    def _may_wait(self, m: Machine) -> bool:
+        """A machine with room may be sent work in this answer if some turns up soon."""
+        return m.ends_at is None and not m.returning and m.cpus >= 0.5
+
+    def _answer(self, m: Machine, held: Held) -> None:
+        if held.reply.done():
+            return
+        orders = self._orders(m, held.report)
+        m.answered = self.clock()
+        held.reply.set_result(wire.orders_answer(self.leading, orders))
+
+    def _orders(self, m: Machine, report: Report, peek: bool = False) -> list[Order]:
+        """What the worker should do, given what it last said. `run` and `clear` go only here."""
+        orders: list[Order] = []
+        present: set[tuple[str, int, int]] = set()
+        for t in report.tasks:
+            key = (t.job, t.task, t.number)
+            present.add(key)
+            p = m.placements.get(key)
+            if t.state == "exited":
+                # An end is cleared only after its commit: the report is its only proof.
+                if p is None and key not in m.clearing:
+                    orders.append(Order("clear", *key))
+            elif p is None:
+                if key not in m.clearing and report.epoch == self.leading:
+                    log.warning("machine %s runs %s/%d try %d unasked", m.id, *key)
+                    orders.append(Order("stop", *key))
+            elif p.stopping and (t.state != "flushing" or p.grace_s <= 0):
+                orders.append(Order("stop", *key, grace_s=p.grace_s))
+        for p in m.placements.values():
+            if p.committed and not p.stopping and p.key not in present:
+                if p.tenure != m.tenure or self.jobs[p.job].cancelled is not None:
+                    continue
+                orders.append(Order("run", *p.key))
+                if not peek:
+                    p.sent = report.counter
+        return orders
+
+    def _flush_held(self, now: float) -> None:
+        for machine, held in list(self.held.items()):
+            m = self.machines.get(machine)
+            if held.reply.done() or m is None:
+                del self.held[machine]
+                if not held.reply.done():
+                    held.reply.set_result(None)
+                continue
+            if held.for_commit:
+                ready = not m.clearing and machine not in self.dirty_machines
+            else:
+                ready = any(
+                    p.committed and not p.stopping and p.sent < held.report.counter and not p.state
+                    for p in m.placements.values()
+                )
+            if ready or now >= held.until:
+                del self.held[machine]
+                self._answer(m, held)
+
+    # --- what is due -------------------------------------------------------------------
+
+    def advance(self) -> None:
+        now = self.clock()
+        if now >= self.next_cycle and now >= self.next_pass:
+            self._pass(now, full=True)
+        elif self.pass_due and now >= self.next_pass:
+            self._pass(now, full=False)
+        if self.in_flight is None and now >= self.next_commit:
+            txn = self._build(now)
+            if txn is not None:
+                self.in_flight = txn
+                self.next_commit = now + c.COMMIT_PACE_S
+                self.on_effects("commit", txn)
+        self._flush_held(now)
+
+    def usage(self) -> dict[str, tuple[float, float]]:
+        """Each team's use, counting every placement until it is proven gone."""
+        used: dict[str, tuple[float, float]] = {}
+        for m in self.machines.values():
+            for p in m.placements.values():
+                spec = self.jobs[p.job].spec
+                cpus, acc = used.get(spec.team, (0.0, 0.0))
+                used[spec.team] = (cpus + spec.cpus, acc + spec.accelerators)
+        return used
+
+    def guess(self, job: Job) -> float:
+        """Guessed run time per task; a job's own finished tasks tell most."""
+        if job.run_count >= 3:
+            return job.run_sum / job.run_count
+        return self.predictor.guess(job.spec)
+
+    def _pass(self, now: float, full: bool) -> None:
+        self.pass_due = False
+        started = self.clock()
+        wall = self.wall()
+        for job in self.jobs.values():
+            job.guess_s = self.guess(job)
+        if full:
+            self.next_cycle = now + self.tuning.cycle_s
+            self._grow_overruns(now)
+        state = planner.State(
+            jobs=list(self.jobs.values()),
+            machines=[m for m in self.machines.values() if self._heard_lately(m, now)],
+            teams=self.teams,
+            usage=self.usage(),
+            now=now,
+            arrived={job.id: now - max(0.0, wall - job.arrived) for job in self.jobs.values()},
+        )
+        guesses = {job.id: job.guess_s for job in self.jobs.values()}
+        plan = planner.plan(
+            state,
+            self.tuning,
+            guesses,
+            c.MACHINE_PLACEMENTS,
+            None if full else self.last_plan.holds,
+        )
+        if full:
+            self.last_plan = plan
+        else:
+            self.last_plan.lacks = plan.lacks
+        for start in plan.starts:
+            job, m = self.jobs[start.job], self.machines[start.machine]
+            for _ in range(start.count):
+                p = job.place(m, now)
+                log.debug("task %s/%d try %d to %s", job.id, p.task, p.number, m.id)
+            m.idle_since = None
+            self.dirty_machines[m.id] = None
+            log.info("job %s: %d tasks to %s", job.id, start.count, m.id)
+        for name in plan.stops:
+            job = self.jobs[name]
+            log.info("job %s: stopped to free room for more urgent work", name)
+            job.preempted += 1
+            for p in job.placed.values():
+                p.stopping, p.grace_s = True, job.spec.save_s + 1.0
+                self._wake(p.machine)
+        self._fleet(now)
+        took = self.clock() - started
+        self.next_pass = now + max(c.EVENT_PASS_S, 4 * took)
+
+    def _heard_lately(self, m: Machine, now: float) -> bool:
+        """Only a machine that this leader hears may be given work; its tenure is known."""
+        return m.up and m.counter >= 0 and now - m.heard < 3 * self.params.workers.report_s + 1.0
+
+    def _grow_overruns(self, now: float) -> None:
+        for m in self.machines.values():
+            for p in m.placements.values():
+                guess = self.jobs[p.job].guess_s * m.speed
+                if p.since is not None and now - p.since > guess:
+                    p.overrun += 1
+
+    def _fleet(self, now: float) -> None:
+        usage = self.usage()
+        wants, returns = self.fleet.decide(
+            now=now,
+            machines=list(self.machines.values()),
+            lacks=self.last_plan.lacks,
+            flavors=list(self.flavors.values()),
+            objectives=self.params.objectives,
+            tuning=self.tuning,
+            teams=self.teams,
+            usage=usage,
+            settled=now - self.lead_since > self.params.workers.report_s * 3,
+        )
+        for want in wants:
+            self.on_effects("rent", want)
+        if returns:
+            self._return(returns, "idle")
+
+    def _return(self, names: list[str], why: str) -> None:
+        for name in names:
+            m = self.machines.get(name)
+            if m is not None:
+                m.returning = True
+            log.info("machine %s goes back: %s", name, why)
+        self.on_effects("return", names)
+
+    def _tick(self) -> None:
+        now = self.clock()
+        workers = self.params.workers
+        patience = workers.lease_s + c.SILENT_MARGIN_S
+        silent: list[str] = []
+        for m in self.machines.values():
+            if m.returning:
+                continue
+            quiet = now - m.heard
+            taken = m.ends_at is not None and now > m.ends_at and quiet > c.NOTICE_SILENT_S
+            if (quiet > patience or taken) and not self.peer_hears(m.id, workers.lease_s):
+                silent.append(m.id)
+                continue
+            # Cancelled work whose end nothing proves must be gone before the user's limit.
+            for p in m.placements.values():
+                cancelled = self.jobs[p.job].cancelled
+                if cancelled is not None and (
+                    self.wall() - cancelled > workers.cancel_s * c.CANCEL_RETURN_PART
+                ):
+                    silent.append(m.id)
+                    break
+        if silent:
+            self._return(silent, "silent, or work on it does not end")
+        suspects = [
+            m.id
+            for m in self.machines.values()
+            if m.suspect and not m.placements and not m.returning
+        ]
+        if suspects:
+            self._return(suspects, "suspected faulty")
+        late = self.fleet.overdue(now, {f.name: f for f in self.flavors.values()})
+        if late:
+            self._return(late, "never came up")
+        self.counts = {
+            job.id: (
+                len(job.done),
+                sum(1 for p in job.placed.values() if p.state == "running"),
+            )
+            for job in self.jobs.values()
+        }
+        if self.predictor.changed and now - self.history_at > c.HISTORY_WRITE_S:
+            self.history_at, self.history_due = now, True
+
+    def _machine_gone(self, name: str, why: str) -> None:
+        """The cloud answered that the machine and everything on it are gone."""
+        self.gone[name] = self.clock()
+        if len(self.gone) > 5000:
+            self.gone.popitem(last=False)
+        self.fleet.gone(name)
+        m = self.machines.get(name)
+        if m is None:
+            return
+        waiting = self.held.pop(name, None)
+        if waiting is not None and not waiting.reply.done():
+            waiting.reply.set_result(None)
+        gangs = set()
+        for p in list(m.placements.values()):
+            job = self.jobs[p.job]
+            if job.spec.kind == "gang":
+                gangs.add((job.id, p))
+            self._end(p, False, f"its machine was {why}")
+        for job_id, p in gangs:
+            self._gang_ended(self.jobs[job_id], p, False)
+        m.up = False
+        self.drop[name] = None
+        self.dirty_machines[name] = None
+        self.pass_due = True
+
+    def _cloud_list(self, rows: list[Listed]) -> None:
+        now = self.clock()
+        self.listed_at = now
+        stray: list[str] = []
+        for row in rows:
+            if row.machine in self.gone:
+                continue
+            known = self.machines.get(row.machine)
+            if row.state == "failed":
+                if known is None or not known.returning:
+                    stray.append(row.machine)
+            elif known is None and not self.fleet.knows(row.machine):
+                # Rented by an earlier leader, or by a request that took effect late.
+                self.fleet.found(row, now)
+        if stray:
+            self._return(stray, "failed")
+
+    # --- commits -----------------------------------------------------------------------
+
+    def _build(self, now: float) -> Txn | None:
+        """The next transaction: progress of jobs first, then machines, then finished jobs.
+
+        A machine's record gives up an attempt only together with, or after, the job's record
+        of that end; otherwise a new leader could lose a done task or reuse a number.
+        """
+        limit = self.params.state.txn_ops
+        txn = Txn({VIEW: self.lead_rev}, {})
+        size = 0
+
+        def add(key: str, rev: int, value: Any) -> bool:
+            nonlocal size
+            cost = len(key) + (len(str(value)) if value is not None else 0) + 80
+            if txn.writes and size + cost > c.TXN_BYTES:
+                return False
+            size += cost
+            txn.guards[key] = rev
+            txn.writes[key] = value
+            return True
+
+        whole = True
+        finish: list[Job] = []
+        for name in list(self.dirty_jobs):
+            job = self.jobs.get(name)
+            if job is None:
+                del self.dirty_jobs[name]
+                continue
+            if job.over and not job.finishing:
+                finish.append(job)
+                if not self.unsettled.get(name):
+                    continue  # all its ends are committed: the final record says the rest
+            chunks = [i for n, i in self.dirty_chunks if n == name]
+            if len(txn.writes) + 1 + len(chunks) > limit and txn.writes:
+                whole = False
+                break
+            value = {"floor": job.floor, "done": job.chunk(0)}
+            if not add(RUN + name, job.run_rev, value):
+                whole = False
+                break
+            txn.jobs.append(job)
+            for index in chunks[: limit - 1]:
+                if add(f"{CHUNK}{name}/{index}", job.chunk_revs.get(index, 0), job.chunk(index)):
+                    txn.chunks.append((job, index))
+                    del self.dirty_chunks[(name, index)]
+            if any(n == name for n, _ in self.dirty_chunks):
+                whole = False
+                break
+            del self.dirty_jobs[name]
+        if whole:
+            for name in list(self.dirty_machines):
+                if len(txn.writes) >= limit:
+                    break
+                m = self.machines.get(name)
+                if m is None:
+                    del self.dirty_machines[name]
+                    continue
+                removing = name in self.drop
+                if removing and m.rev == 0:
+                    del self.dirty_machines[name]
+                    self._forget_machine(m)
+                    continue
+                if not add(MACHINE + name, m.rev, None if removing else m.record()):
+                    break
+                del self.dirty_machines[name]
+                (txn.removed if removing else txn.machines).append(m)
+                txn.placed += [p for p in m.placements.values() if not p.committed]
+                txn.ends += [(m, end) for end in self.ends.pop(name, [])]
+            for job in finish:
+                if len(txn.writes) + 3 > limit:
+                    break
+                if self.unsettled.get(job.id):
+                    continue
+                status = "done" if job.complete and job.cancelled is None else "cancelled"
+                if not add(OLD + job.id, 0, {"status": status, "done": len(job.done)}):
+                    break
+                # Guarding the accepted record settles the race with a cancellation.
+                add(JOB + job.id, job.rev, None)
+                if job.run_rev:
+                    add(RUN + job.id, job.run_rev, None)
+                job.finishing = True
+                txn.finished.append(job)
+                self.dirty_jobs.pop(job.id, None)
+        if self.history_due and len(txn.writes) < limit:
+            record = self.predictor.dump(
+                min(c.HISTORY_BYTES, int(self.params.state.value_kb * 1024 * 0.8))
+            )
+            if add(HISTORY, self.history_rev, record):
+                txn.history = True
+                self.history_due = False
+                self.predictor.changed = False
+        if not txn.writes:
+            return None
+        return txn
+
+    def _settled(self, command: Settled) -> None:
+        txn = command.txn
+        if command.rev is None:
+            self._conflict(txn, command.conflict or [])
+            return
+        rev = command.rev
+        for job in txn.jobs:
+            job.run_rev = rev
+        for job, index in txn.chunks:
+            job.chunk_revs[index] = rev
+        for m in txn.machines:
+            m.rev = rev
+        if txn.history:
+            self.history_rev = rev
+        for p in txn.placed:
+            p.committed = True
+        for m, end in txn.ends:
+            p = end.placement
+            m.clearing.discard(p.key)
+            job = self.jobs.get(p.job)
+            if job is None:
+                continue
+            self.unsettled[job.id] -= 1
+            if not end.done and p.task not in job.done and p.task not in job.placed:
+                job.free.append(p.task)
+                self.pass_due = True
+            if job.over:
+                self.dirty_jobs[job.id] = None
+        for m in txn.removed:
+            self._forget_machine(m)
+        for job in txn.finished:
+            status = txn.writes[OLD + job.id]["status"]
+            self.remember_terminal(job.id, status, len(job.done))
+            log.info("job %s: %s", job.id, status)
+            self.jobs.pop(job.id, None)
+            self.accepted.pop(job.id, None)
+            self.unsettled.pop(job.id, None)
+            if job.chunk_revs:
+                self.on_effects("chunks", (job.id, dict(job.chunk_revs)))
+
+    def _forget_machine(self, m: Machine) -> None:
+        self.machines.pop(m.id, None)
+        self.drop.pop(m.id, None)
+        for end in self.ends.pop(m.id, []):
+            self._settle_end(end)
+
+    def _settle_end(self, end: End) -> None:
+        """An end on a machine that was never recorded has nothing to commit."""
+        job = self.jobs.get(end.placement.job)
+        if job is None:
+            return
+        self.unsettled[job.id] -= 1
+        if not end.done and end.placement.task not in job.done:
+            job.free.append(end.placement.task)
+        self.dirty_jobs[job.id] = None
+        self.pass_due = True
+
+    def _conflict(self, txn: Txn, failed: list[str]) -> None:
+        """Nothing of it was applied. Everything in it is due again, with newer revisions."""
+        if VIEW in failed:
+            self.step_down("the view has moved on")
+            return
+        if any(not key.startswith(JOB) for key in failed) or not failed:
+            # A record only the leader writes is not as it left it: start again from the store.
+            log.error("unexpected conflict on %s", failed)
+            self.step_down("its records changed")
+            self.on_effects("retake", None)
+            return
+        for job in txn.jobs:
+            self.dirty_jobs[job.id] = None
+        for job, index in txn.chunks:
+            self.dirty_chunks[(job.id, index)] = None
+        for m in txn.machines + txn.removed:
+            self.dirty_machines[m.id] = None
+        for m, end in txn.ends:
+            self.ends.setdefault(m.id, []).append(end)
+        for job in txn.finished:
+            job.finishing = False
+            self.dirty_jobs[job.id] = None
+        if txn.history:
+            self.predictor.changed = True
+        # The accepted record's newer version (a cancellation) is on its way; read it at once.
+        self.on_effects("reread", [key for key in failed if key.startswith(JOB)])
+        self.next_commit = self.clock() + c.RETRY_S
--- /dev/null
+++ b/coveflow/peers.py
@@ -0,0 +1,124 @@
+"""What controllers exchange: pings with what each knows, and relayed reports."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from . import constants as c
+from . import wire
+from .net import Client, Unavailable
+from .settings import Member, Settings
+
+log = logging.getLogger("coveflow.peers")
+
+PING, RELAY = "/ping", "/relay"
+
+
+@dataclass(slots=True)
+class Peer:
+    member: Member
+    client: Client
+    answered: float = -1e9  # when the newest answered ping was sent
+    boot: str = ""
+    trusted_boot: str = ""  # the process it was when this node last had store contact itself
+    epoch: int = 0
+    leading: bool = False
+    store_age: float = 1e9
+    hears: dict[str, float] = field(default_factory=dict)
+    counts: dict[str, list[int]] = field(default_factory=dict)
+
+
+class Peers:
+    def __init__(
+        self,
+        settings: Settings,
+        session: aiohttp.ClientSession,
+        clock: Callable[[], float],
+        info: Callable[[], dict[str, Any]],
+        relay: Callable[[bytes], Any],
+    ) -> None:
+        self.settings, self.clock, self.info, self.relay = settings, clock, info, relay
+        self.boot = uuid.uuid4().hex
+        self.peers = {
+            member.name: Peer(member, Client(session, member.address))
+            for member in settings.members
+            if member.name != settings.name
+        }
+        self.cancelled: set[str] = set()  # cancellations heard of from peers
+        self.heard_at = clock()  # when any peer was last in contact, either way
+
+    def get(self, name: str) -> Peer | None:
+        return self.peers.get(name)
+
+    def fresh(self, name: str) -> bool:
+        peer = self.peers.get(name)
+        return peer is not None and self.clock() - peer.answered < c.PEER_FRESH_S
+
+    def hears(self, machine: str, within: float) -> bool:
+        """Whether some reachable peer had a report of the machine lately."""
+        return any(
+            self.fresh(name)
+            and peer.hears.get(machine, 1e9) + self.clock() - peer.answered < within
+            for name, peer in self.peers.items()
+        )
+
+    def store_works(self) -> bool:
+        """Whether some reachable peer had an answer from the state service just now."""
+        return any(self.fresh(n) and p.store_age < c.PEER_FRESH_S for n, p in self.peers.items())
+
+    def on_contact(self) -> None:
+        for peer in self.peers.values():
+            peer.trusted_boot = peer.boot
+
+    def known_at(self) -> float:
+        """All cancellations told to users before this are known, by the peers' own word.
+
+        Only members commit cancellations, so the word of every one of them is as good as the
+        store's; a member that was restarted since may have forgotten one.
+        """
+        if any(p.boot != p.trusted_boot or not p.boot for p in self.peers.values()):
+            return -1e9
+        return min((p.answered for p in self.peers.values()), default=-1e9)
+
+    async def run(self, peer: Peer) -> None:
+        while True:
+            sent = self.clock()
+            try:
+                status, body = await peer.client.request(
+                    "POST", PING, body=wire.pack(self.info()), timeout_s=c.PING_TIMEOUT_S
+                )
+                if status == 200:
+                    self._heard(peer, wire.unpack(body), sent)
+            except (Unavailable, wire.Malformed, KeyError, TypeError) as error:
+                log.debug("ping %s: %s", peer.member.name, error)
+            await asyncio.sleep(max(0.05, c.PING_S - (self.clock() - sent)))
+
+    def _heard(self, peer: Peer, data: dict[str, Any], sent: float) -> None:
+        peer.boot = data["boot"]
+        peer.epoch, peer.leading = data["epoch"], data["leading"]
+        peer.store_age = data["store_age"]
+        peer.hears = data["hears"]
+        peer.counts = data["counts"]
+        self.cancelled.update(data["cancels"])
+        peer.answered = max(peer.answered, sent)
+        self.heard_at = self.clock()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.method != "POST":
+            return web.Response(status=404)
+        body = await request.read()
+        if request.path == PING:
+            self.heard_at = self.clock()
+            return web.Response(body=wire.pack(self.info()))
+        if request.path == RELAY:
+            answer = await self.relay(body)
+            return web.Response(body=answer) if answer is not None else web.Response(status=503)
+        return web.Response(status=404)
--- /dev/null
+++ b/coveflow/settings.py
@@ -0,0 +1,181 @@
+"""Settings: the platform's deploy file (TOML) and the operator's own (S-expressions)."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
+
+class SettingsError(ValueError):
+    """A settings file is wrong; the text names the file and the field, line or form."""
+
+
+class Member(msgspec.Struct, frozen=True):
+    name: str = msgspec.field(name="host_name")
+    zone: str = msgspec.field(name="area")
+    address: str = ""
+
+
+class Services(msgspec.Struct, frozen=True):
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, frozen=True):
+    name: str
+    cpus: NotNegative = 0.0
+    cpus_max: NotNegative = 0.0
+    accelerators: NotNegative = msgspec.field(name="gpus", default=0.0)
+    accelerators_max: NotNegative = msgspec.field(name="gpus_max", default=0.0)
+
+
+class Objective(msgspec.Struct, frozen=True):
+    kind: str
+    workload: str | None = msgspec.field(name="class", default=None)
+    share: float | None = None
+    within_s: float | None = None
+    within_ms: float | None = None
+    most: float | None = None
+
+
+class Workers(msgspec.Struct, frozen=True):
+    report_s: Positive
+    lease_s: Positive
+    gang_wait_s: Positive
+    gang_peer_s: Positive
+    cancel_s: Positive
+
+
+class State(msgspec.Struct, frozen=True):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, msgspec.Meta(ge=4)]
+
+
+class Cloud(msgspec.Struct, frozen=True):
+    rps: Positive
+    list_lag_s: NotNegative = 0.0
+
+
+class Resources(msgspec.Struct, frozen=True):
+    cpu: Positive = 1.0
+    ram_mb: Positive = 128.0
+    max_connections: Annotated[int, msgspec.Meta(ge=1)] = 512
+
+
+class Params(msgspec.Struct, frozen=True):
+    zones: list[str]
+    workers: Workers
+    state: State
+    cloud: Cloud
+    size: Annotated[int, msgspec.Meta(ge=1)] = 1
+    clock_error_ms: NotNegative = 0.0
+    teams: list[Team] = []
+    objectives: list[Objective] = []
+    resources: Resources = Resources()
+
+
+class Settings(msgspec.Struct, frozen=True):
+    name: str = msgspec.field(name="host_name")
+    zone: str = msgspec.field(name="area")
+    front: str
+    cluster_listen: str
+    services: Services
+    params: Params
+    members: list[Member] = []
+
+
+class Tuning(msgspec.Struct, frozen=True, rename="kebab", forbid_unknown_fields=True):
+    """What an operator may tune; one S-expression form `(key value)` each."""
+
+    cycle_s: Positive = 5.0
+    horizon_s: Positive = 300.0
+    wait_s: NotNegative = 60.0
+    slope: Positive = 1.0
+    stop_ratio: Positive = 1000.0
+    stop_margin: NotNegative = 0.05
+    estimators: tuple[str, ...] = ("average", "median", "decay", "recent")
+    decay: Share = 0.5
+    recent: Annotated[int, msgspec.Meta(ge=1, le=200)] = 20
+    spare: NotNegative = 0.1
+    idle_s: NotNegative = 20.0
+
+
+def address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not an address of the form host:port")
+    return host, int(port)
+
+
+def load(path: Path) -> Settings:
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    return parse(raw, str(path))
+
+
+def parse(raw: dict[str, Any], origin: str = "settings") -> Settings:
+    try:
+        settings = msgspec.convert(raw, Settings)
+        for text in (
+            settings.front,
+            settings.cluster_listen,
+            settings.services.cloud,
+            settings.services.state,
+            *(member.address for member in settings.members),
+        ):
+            address(text)
+    except (msgspec.ValidationError, ValueError) as error:
+        raise SettingsError(f"{origin}: {error}") from error
+    return settings
+
+
+def load_tuning(path: Path) -> Tuning:
+    try:
+        return parse_tuning(path.read_text(encoding="utf-8"), str(path))
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+def parse_tuning(text: str, origin: str = "tuning") -> Tuning:
+    """Read `(coveflow (cycle-s 5) (estimators average median) ...)`."""
+    import sexpdata  # only operators with a file of their own pay for the import
+
+    try:
+        form = sexpdata.loads(text)
+    except Exception as error:  # the parser raises several unrelated types
+        raise SettingsError(f"{origin}: not an S-expression: {error}") from error
+    if not isinstance(form, list) or not form or form[0] != sexpdata.Symbol("coveflow"):
+        raise SettingsError(f"{origin}: the form must be (coveflow (key value) ...)")
+    values: dict[str, Any] = {}
+    for item in form[1:]:
+        if not isinstance(item, list) or len(item) < 2 or not isinstance(item[0], sexpdata.Symbol):
+            raise SettingsError(f"{origin}: {sexpdata.dumps(item)} is not (key value)")
+        key = item[0].value()
+        if key in values:
+            raise SettingsError(f"{origin}: {key} is given twice")
+        words = [part.value() if isinstance(part, sexpdata.Symbol) else part for part in item[1:]]
+        values[key] = words if key == "estimators" else words[0]
+        if key != "estimators" and len(words) != 1:
+            raise SettingsError(f"{origin}: {key} takes one value")
+    try:
+        tuning = msgspec.convert(values, Tuning)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{origin}: {error}") from error
+    known = {"average", "median", "decay", "recent"}
+    unknown = [name for name in tuning.estimators if name not in known]
+    if unknown or not tuning.estimators:
+        raise SettingsError(f"{origin}: estimators must be among {sorted(known)}: {unknown}")
+    return tuning
--- /dev/null
+++ b/coveflow/store.py
@@ -0,0 +1,207 @@
+"""Client of the state service, with this node's share of the common budgets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+
+from . import constants as c
+from . import wire
+from .net import Bucket, Client, Unavailable, Unsure
+from .settings import State
+
+
+class Conflict(Exception):
+    """A guard did not hold, so nothing was written."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(", ".join(failed))
+        self.failed = failed
+
+
+class Expired(Exception):
+    """The hold a write hangs on has ended."""
+
+
+class TooOld(Exception):
+    """The changes asked for are no longer kept; the keys must be read again."""
+
+
+class Store:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        limits: State,
+        nodes: int,
+        clock: Callable[[], float],
+    ) -> None:
+        self.client = Client(session, address)
+        self.limits, self.nodes, self.clock = limits, nodes, clock
+        self.requests = Bucket(1.0, clock)
+        self.changes = Bucket(1.0, clock)
+        self.refused_at = -1e9
+        self.contact = -1e9  # when the newest answered request was sent
+        self.set_leading(False)
+
+    def set_leading(self, leading: bool) -> None:
+        """The leader writes most, so it has most of the budgets."""
+        others = max(1, self.nodes - 1)
+        share = c.LEADER_SHARE if leading else (1.0 - c.LEADER_SHARE) / others
+        if self.nodes == 1:
+            share = 1.0
+        self.requests.set_rate(self.limits.rps * share)
+        self.changes.set_rate(self.limits.write_rps * share)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        query: dict[str, str] | None = None,
+        timeout_s: float = c.STORE_TIMEOUT_S,
+    ) -> tuple[int, bytes]:
+        await self.requests.take()
+        sent = self.clock()
+        status, answer = await self.client.request(
+            method, path, body=body, query=query, timeout_s=timeout_s
+        )
+        if status in (429, 503) or status >= 500:
+            self.refused_at = self.clock()
+            raise Unavailable(f"state service: {status}")
+        self.contact = max(self.contact, sent)
+        return status, answer
+
+    async def get(self, key: str) -> tuple[Any, int]:
+        """Value and revision; (None, 0) when the key does not exist."""
+        status, body = await self.call("GET", f"{wire.STORE}/{key}")
+        if status == 404:
+            return None, 0
+        if status != 200:
+            raise Unavailable(f"get {key}: {status}")
+        return wire.read_item(body)
+
+    async def list(self, prefix: str) -> tuple[list[tuple[str, Any, int]], int]:
+        """All rows under the prefix, and the revision from which to watch."""
+        rows: list[tuple[str, Any, int]] = []
+        first_rev: int | None = None
+        after: str | None = None
+        while True:
+            status, body = await self.call(
+                "GET", wire.STORE, query=wire.store_query(prefix, after, c.STORE_PAGE)
+            )
+            if status != 200:
+                raise Unavailable(f"list {prefix}: {status}")
+            page, more, rev = wire.read_rows(body)
+            rows += page
+            # Pages are read at different moments; watching from the first one's revision
+            # repeats changes instead of missing them.
+            first_rev = rev if first_rev is None else first_rev
+            if not more or not page:
+                return rows, first_rev
+            after = page[-1][0]
+
+    async def commit(
+        self, guards: dict[str, int], writes: dict[str, Any], grant: int | None = None
+    ) -> int:
+        """Apply the writes if every guard holds; the new revision, or Conflict."""
+        if writes:
+            await self.changes.take(len(writes))
+        status, body = await self.call("POST", wire.COMMIT, body=wire.commit(guards, writes, grant))
+        if status == 200:
+            return wire.read_commit(body)
+        if status == 409:
+            raise Conflict(wire.read_conflict(body))
+        if status == 400 and grant is not None:
+            raise Expired
+        # A malformed transaction would be refused for ever; this is a defect, not an outage.
+        raise ValueError(f"commit: {status} {body[:200]!r}")
+
+    async def sure_commit(
+        self, guards: dict[str, int], writes: dict[str, Any], deadline: float | None = None
+    ) -> int:
+        """Commit, and settle an unsure answer instead of assuming one.
+
+        Every written key is guarded by its revision, so the transaction applies at most once
+        and a copy that arrives late fails: it is repeated as it stands until it applies or
+        shows a guard that moved on, which may be its own earlier copy's doing. Past the
+        deadline Unavailable (surely not applied) or Unsure is raised.
+        """
+        missing = [key for key in writes if key not in guards]
+        if missing:
+            raise ValueError(f"unguarded writes: {missing}")
+        unsure = False
+        pause = c.RETRY_S
+        while True:
+            try:
+                return await self.commit(guards, writes)
+            except Conflict:
+                # An earlier copy may have applied: then this conflict is with ourselves.
+                rev = await self._applied(guards, writes, deadline) if unsure else None
+                if rev is None:
+                    raise
+                return rev
+            except Unavailable as error:
+                unsure = unsure or isinstance(error, Unsure)
+                if deadline is not None and self.clock() + pause >= deadline:
+                    raise Unsure(str(error)) if unsure else error from None
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, c.RETRY_MAX_S)
+
+    async def _applied(
+        self, guards: dict[str, int], writes: dict[str, Any], deadline: float | None
+    ) -> int | None:
+        """The common revision if the store holds these writes as our doing, else None."""
+        rev = 0
+        for key, value in writes.items():
+            while True:
+                try:
+                    found, found_rev = await self.get(key)
+                    break
+                except Unavailable as error:
+                    if deadline is not None and self.clock() >= deadline:
+                        raise Unsure(str(error)) from error
+                    await asyncio.sleep(c.RETRY_S)
+            # The same value under the guarded revision is the old one, not ours.
+            if found != value or (value is not None and found_rev <= guards[key]):
+                return None
+            rev = max(rev, found_rev)
+        return rev
+
+    async def watch(
+        self, prefix: str, after: int, hold_s: float
+    ) -> tuple[int, list[tuple[str, Any, int]], float]:
+        """Changes after a revision, and when this watch was opened."""
+        await self.requests.take()
+        sent = self.clock()
+        status, body = await self.client.request(
+            "GET",
+            wire.CHANGES,
+            query=wire.watch_query(prefix, after, int(hold_s * 1000)),
+            timeout_s=hold_s + c.STORE_TIMEOUT_S,
+        )
+        if status == 410:
+            raise TooOld
+        if status != 200:
+            self.refused_at = self.clock()
+            raise Unavailable(f"watch: {status}")
+        self.contact = max(self.contact, sent)
+        rev, events = wire.read_events(body)
+        return rev, events, sent
+
+    async def new_hold(self, life_s: float) -> int:
+        status, body = await self.call("POST", wire.HOLDS, body=wire.hold(int(life_s * 1000)))
+        if status != 200:
+            raise Unavailable(f"hold: {status}")
+        return wire.read_hold(body)
+
+    async def renew(self, grant: int) -> None:
+        status, _ = await self.call("POST", f"{wire.HOLDS}/{grant}/renew")
+        if status == 404:
+            raise Expired
+        if status != 200:
+            raise Unavailable(f"renew: {status}")
--- /dev/null
+++ b/coveflow/wire.py
@@ -0,0 +1,358 @@
+"""The protocol's names and bodies; the only module that knows how a field is spelt."""
+
+from __future__ import annotations
+
+import math
+import re
+from typing import Any
+
+import cbor2
+import msgspec
+
+from . import constants as c
+from .model import Flavor, Listed, Order, Report, Spec, TaskReport
+
+KINDS = {"array": "array", "gang": "gang", "standing": "service"}
+PRIORITIES = {"production": 3, "high": 2, "normal": 1, "low": 0}
+JOB_ID = re.compile(r"j-[0-9]{1,40}")
+PIECE = re.compile(r"(j-[0-9]{1,40})/([0-9]{1,6})")
+WORK, BEAT, UP = "/work", "/agent/beat", "/up"
+ABORT = "/abort"
+COMMANDS, INSPECT = "/commands", "/inspect"
+FLAVORS, RENTALS, RETURN = "/flavors", "/rentals", "/rentals/return"
+STORE, COMMIT, HOLDS, CHANGES = "/store", "/commit", "/holds", "/changes"
+
+
+class Malformed(ValueError):
+    """A body that cannot be understood; the text says why."""
+
+
+class _Work(msgspec.Struct):
+    name_id: str
+    workload: str
+    owner: str
+    shape: str
+    urgency: str
+    pieces: int
+    cpus: float
+    accelerators: float
+    ram_gb: float
+    bundle: str
+    size_gb: float
+    same_place: bool
+    scatter: bool
+    borrowed: bool
+    expected_s: float
+    snapshot_s: float
+    flush_s: float
+    flavors: list[str] | None = None
+    site: str | None = None
+    due_s: float | None = None
+
+
+class _Piece(msgspec.Struct):
+    piece: str
+    number: int = msgspec.field(name="try")
+    status: str
+    cause: str | None = None
+    kept: bool | None = None
+
+
+class _Beat(msgspec.Struct):
+    host: str
+    endpoint: str
+    flavor: str
+    site: str
+    borrowed: bool
+    tenure: int
+    counter: int
+    epoch: int
+    warning_s: float | None = None
+    pieces: list[_Piece] = []
+
+
+class _Flavor(msgspec.Struct):
+    sku: str
+    cpus: float
+    ram_gb: float
+    local_gb: float
+    pull_gb_per_s: float
+    rate: float
+    spot_price: float
+    ready_s: float
+    sites: list[str]
+    accelerators: float = 0.0
+
+
+class _Listed(msgspec.Struct):
+    name_id: str
+    flavor: str
+    site: str
+    borrowed: bool
+    status: str
+    held_s: float
+    endpoint: str | None = None
+
+
+def pack(value: Any) -> bytes:
+    return cbor2.dumps(value)
+
+
+def unpack(body: bytes) -> dict[str, Any]:
+    try:
+        value = cbor2.loads(body)
+    except Exception as error:  # hostile input raises many types, RecursionError among them
+        raise Malformed("not CBOR") from error
+    if type(value) is not dict:
+        raise Malformed("not a map")
+    return value
+
+
+def _convert(body: bytes, kind: type) -> Any:
+    try:
+        return msgspec.convert(unpack(body), kind)
+    except msgspec.ValidationError as error:
+        raise Malformed(str(error)) from error
+    except (RecursionError, OverflowError, TypeError) as error:
+        raise Malformed("unreadable") from error
+
+
+def work_id(body: bytes) -> str | None:
+    """The id in a submission whose other fields may be wrong."""
+    try:
+        name = unpack(body).get("name_id")
+    except Malformed:
+        return None
+    return name if isinstance(name, str) and JOB_ID.fullmatch(name) else None
+
+
+def read_work(body: bytes) -> Spec:
+    w = _convert(body, _Work)
+    if not JOB_ID.fullmatch(w.name_id):
+        raise Malformed("name_id")
+    if w.shape not in KINDS:
+        raise Malformed("shape")
+    if w.urgency not in PRIORITIES:
+        raise Malformed("urgency")
+    if not 1 <= w.pieces <= c.MAX_TASKS:
+        raise Malformed("pieces")
+    numbers = {
+        "cpus": w.cpus,
+        "accelerators": w.accelerators,
+        "ram_gb": w.ram_gb,
+        "size_gb": w.size_gb,
+        "expected_s": w.expected_s,
+        "snapshot_s": w.snapshot_s,
+        "flush_s": w.flush_s,
+        "due_s": 0.0 if w.due_s is None else w.due_s,
+    }
+    for name, number in numbers.items():
+        if not math.isfinite(number) or number < 0:
+            raise Malformed(name)
+    texts = {"workload": w.workload, "owner": w.owner, "bundle": w.bundle, "site": w.site or "-"}
+    for name, text in texts.items():
+        if not text or len(text) > 200:
+            raise Malformed(name)
+    if w.flavors is not None and (
+        not w.flavors or len(w.flavors) > 50 or any(not f or len(f) > 200 for f in w.flavors)
+    ):
+        raise Malformed("flavors")
+    return Spec(
+        id=w.name_id,
+        workload=w.workload,
+        team=w.owner,
+        kind=KINDS[w.shape],
+        priority=PRIORITIES[w.urgency],
+        tasks=w.pieces,
+        cpus=w.cpus,
+        accelerators=w.accelerators,
+        ram_gb=w.ram_gb,
+        image=w.bundle,
+        image_gb=w.size_gb,
+        types=w.flavors,
+        zone=w.site,
+        one_zone=w.same_place,
+        spread=w.scatter,
+        spot=w.borrowed,
+        expected_s=w.expected_s,
+        checkpoint_s=w.snapshot_s,
+        save_s=w.flush_s,
+        deadline_s=w.due_s,
+    )
+
+
+def job_answer(job: str, status: str, done: int | None = None, running: int = 0) -> bytes:
+    answer: dict[str, Any] = {"name_id": job, "status": status}
+    if done is not None:
+        answer |= {"done": done, "running": running}
+    return pack(answer)
+
+
+def error(text: str) -> bytes:
+    return pack({"error": text})
+
+
+def read_report(body: bytes) -> Report:
+    b = _convert(body, _Beat)
+    tasks = []
+    for p in b.pieces:
+        match = PIECE.fullmatch(p.piece)
+        if not match:
+            raise Malformed("piece")
+        tasks.append(TaskReport(match[1], int(match[2]), p.number, p.status, p.cause, bool(p.kept)))
+    return Report(
+        machine=b.host,
+        address=b.endpoint,
+        type=b.flavor,
+        zone=b.site,
+        spot=b.borrowed,
+        tenure=b.tenure,
+        counter=b.counter,
+        epoch=b.epoch,
+        notice_s=b.warning_s,
+        tasks=tasks,
+    )
+
+
+def orders_answer(epoch: int, orders: list[Order]) -> bytes:
+    return pack({"epoch": epoch, "orders": [_order(order) for order in orders]})
+
+
+def _order(order: Order) -> dict[str, Any]:
+    piece: dict[str, Any] = {
+        "verb": order.verb,
+        "piece": f"{order.job}/{order.task}",
+        "try": order.number,
+    }
+    if order.verb == "stop":
+        piece["wind_down_s"] = order.grace_s
+    return piece
+
+
+def redirect_answer(member: str) -> bytes:
+    return pack({"reports_to": member})
+
+
+# --- cloud -----------------------------------------------------------------------------
+
+
+def read_flavors(body: bytes) -> list[Flavor]:
+    try:
+        rows = msgspec.convert(unpack(body).get("flavors"), list[_Flavor])
+    except msgspec.ValidationError as error:
+        raise Malformed(str(error)) from error
+    return [
+        Flavor(
+            name=f.sku,
+            cpus=f.cpus,
+            accelerators=f.accelerators,
+            ram_gb=f.ram_gb,
+            cache_gb=f.local_gb,
+            fetch_gb_per_s=f.pull_gb_per_s,
+            price=f.rate,
+            spot_price=f.spot_price,
+            boot_s=f.ready_s,
+            zones=f.sites,
+        )
+        for f in rows
+    ]
+
+
+def rental(name: str, flavor: str, zone: str, spot: bool, count: int) -> bytes:
+    return pack({"rental": name, "flavor": flavor, "site": zone, "borrowed": spot, "number": count})
+
+
+def read_hosts(body: bytes) -> list[str]:
+    hosts = unpack(body).get("hosts")
+    if not isinstance(hosts, list):
+        raise Malformed("hosts")
+    return [host for host in hosts if isinstance(host, str)]
+
+
+def returning(machines: list[str]) -> bytes:
+    return pack({"hosts": machines})
+
+
+def list_query(after: str | None, most: int) -> dict[str, str]:
+    return {"most": str(most)} | ({"after": after} if after else {})
+
+
+def read_list(body: bytes) -> tuple[list[Listed], bool]:
+    data = unpack(body)
+    try:
+        rows = msgspec.convert(data.get("hosts"), list[_Listed])
+    except msgspec.ValidationError as error:
+        raise Malformed(str(error)) from error
+    listed = [
+        Listed(r.name_id, r.endpoint or "", r.flavor, r.site, r.borrowed, r.status, r.held_s)
+        for r in rows
+    ]
+    return listed, bool(data.get("has_next"))
+
+
+# --- state service ---------------------------------------------------------------------
+
+
+def commit(guards: dict[str, int], writes: dict[str, Any], grant: int | None = None) -> bytes:
+    """A transaction; a write of None removes its key."""
+    changes: list[dict[str, Any]] = []
+    for key, value in writes.items():
+        if value is None:
+            changes.append({"remove": key})
+        else:
+            changes.append({"write": key, "value": value})
+            if grant is not None:
+                changes[-1]["grant"] = grant
+    return pack(
+        {
+            "guards": [{"key": key, "key_rev": rev} for key, rev in guards.items()],
+            "writes": changes,
+        }
+    )
+
+
+def read_commit(body: bytes) -> int:
+    return int(unpack(body)["store_rev"])
+
+
+def read_conflict(body: bytes) -> list[str]:
+    return [str(key) for key in unpack(body).get("failed") or []]
+
+
+def read_item(body: bytes) -> tuple[Any, int]:
+    item = unpack(body)
+    return item["value"], int(item["key_rev"])
+
+
+def read_rows(body: bytes) -> tuple[list[tuple[str, Any, int]], bool, int]:
+    data = unpack(body)
+    rows = [(row["key"], row["value"], int(row["key_rev"])) for row in data["rows"]]
+    return rows, bool(data.get("has_next")), int(data["store_rev"])
+
+
+def read_events(body: bytes) -> tuple[int, list[tuple[str, Any, int]]]:
+    """Revision reached, and (key, value or None when removed, revision) in order."""
+    data = unpack(body)
+    events = [
+        (e["remove"], None, int(e["key_rev"]))
+        if "remove" in e
+        else (e["write"], e["value"], int(e["key_rev"]))
+        for e in data.get("events") or []
+    ]
+    return int(data["store_rev"]), events
+
+
+def store_query(prefix: str, after: str | None, most: int) -> dict[str, str]:
+    return {"starts": prefix, "most": str(most)} | ({"after": after} if after else {})
+
+
+def watch_query(prefix: str, after: int, hold_ms: int) -> dict[str, str]:
+    return {"starts": prefix, "after": str(after), "hold_ms": str(hold_ms)}
+
+
+def hold(life_ms: int) -> bytes:
+    return pack({"life_ms": life_ms})
+
+
+def read_hold(body: bytes) -> int:
+    return int(unpack(body)["grant"])
