--- a/coveflow/fleet.py
+++ b/coveflow/fleet.py
@@ -8,10 +8,9 @@
 from . import constants as c
 from .model import Flavor, Listed, Machine, Spec
 from .planner import Lack, fit
-from .settings import Objective, Team, Tuning
+from .settings import Tuning
 
 REFUSED_S = 8.0  # s before a type, zone and kind that was refused is asked for again
-IDLE_FREE_S = 300.0  # s an idle machine is kept where no objective weighs money
 
 
 @dataclass(slots=True, frozen=True)
@@ -68,10 +67,6 @@
     return Virtual(flavor, zone, spot, flavor.cpus, flavor.ram_gb, flavor.accelerators)
 
 
-def money_matters(objectives: list[Objective]) -> bool:
-    return any(o.kind in ("price", "useful") for o in objectives)
-
-
 @dataclass(slots=True)
 class Fleet:
     booting: dict[str, Booting] = field(default_factory=dict)
@@ -120,16 +115,12 @@
         machines: list[Machine],
         lacks: list[Lack],
         flavors: list[Flavor],
-        objectives: list[Objective],
         tuning: Tuning,
-        teams: dict[str, Team],
-        usage: dict[str, tuple[float, float]],
         settled: bool,
     ) -> tuple[list[Want], list[str]]:
         by_name = {f.name: f for f in flavors}
-        money = money_matters(objectives)
-        wants = self._wants(now, lacks, by_name, money, teams, usage) if settled else []
-        returns = self._returns(now, machines, lacks, tuning, money) if settled else []
+        wants = self._wants(now, lacks, by_name) if settled else []
+        returns = self._returns(now, machines, lacks, tuning) if settled else []
         return wants, returns
 
     def _wants(
@@ -137,9 +128,6 @@
         now: float,
         lacks: list[Lack],
         flavors: dict[str, Flavor],
-        money: bool,
-        teams: dict[str, Team],
-        usage: dict[str, tuple[float, float]],
     ) -> list[Want]:
         coming = [
             virtual(flavors[b.flavor], b.zone, b.spot)
@@ -159,7 +147,7 @@
                     break
                 left -= machine.put(spec, left)
             while left > 0:
-                option = self._cheapest(now, spec, lack, left, flavors, money)
+                option = self._cheapest(now, spec, lack, left, flavors)
                 if option is None:
                     break
                 flavor, zone, spot = option
@@ -187,7 +175,6 @@
         lack: Lack,
         left: int,
         flavors: dict[str, Flavor],
-        money: bool,
     ) -> tuple[Flavor, str, bool] | None:
         best: tuple[tuple[float, ...], tuple[Flavor, str, bool]] | None = None
         for flavor in flavors.values():
@@ -196,7 +183,7 @@
             slots = fit(flavor.cpus, flavor.ram_gb, flavor.accelerators, spec)
             if slots <= 0:
                 continue
-            if money and lack.planned - now < flavor.boot_s:
+            if lack.planned - now < flavor.boot_s:
                 continue  # running work ends before a new machine could be up
             for zone in flavor.zones:
                 if spec.zone is not None and zone != spec.zone:
@@ -205,12 +192,9 @@
                     key = (flavor.name, zone, spot)
                     if self.closed.get(key, -math.inf) > now or key in self.asked:
                         continue
-                    if money:
-                        if not spot and spec.spot and not lack.urgent:
-                            continue
-                        rank = (flavor.rate(spot) / min(slots, max(left, 1)), flavor.boot_s)
-                    else:
-                        rank = (float(spot), flavor.boot_s)
+                    if not spot and spec.spot and not lack.urgent:
+                        continue
+                    rank = (flavor.rate(spot) / min(slots, max(left, 1)), flavor.boot_s)
                     if best is None or rank < best[0]:
                         best = (rank, (flavor, zone, spot))
         return best[1] if best else None
@@ -221,7 +205,6 @@
         machines: list[Machine],
         lacks: list[Lack],
         tuning: Tuning,
-        money: bool,
     ) -> list[str]:
         idle: list[Machine] = []
         free = used = 0.0
@@ -236,7 +219,7 @@
             if m.idle_since is None:
                 m.idle_since = now
             idle.append(m)
-        wait = tuning.idle_s if money else IDLE_FREE_S
+        wait = tuning.idle_s
         # The dearest per CPU go first.
         idle.sort(key=lambda m: -m.flavor.rate(m.spot) / max(m.flavor.cpus, 1.0))
         returns = []
--- a/coveflow/node.py
+++ b/coveflow/node.py
@@ -141,6 +141,7 @@
         """Ask under one fresh name until it is answered; a name is never used twice."""
         name = f"{self.settings.name}-{uuid.uuid4().hex}"
         pause = c.RETRY_S
+        log.info("asking for %s", want.label())
         while True:
             try:
                 machines = await self.cloud.rent(
--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -433,10 +433,12 @@
             job.refill()
             self.jobs[job.id] = job
             log.info(
-                "job %s: %d tasks of %s for %s",
+                "job %s: %d tasks of %s (%g CPUs each%s) for %s",
                 job.id,
                 job.spec.tasks,
                 job.spec.workload,
+                job.spec.cpus,
+                ", spot too" if job.spec.spot else "",
                 job.spec.team,
             )
         job.rev = max(job.rev, entry.rev)
@@ -808,17 +810,14 @@
                     p.overrun += 1
 
     def _fleet(self, now: float) -> None:
-        usage = self.usage()
         wants, returns = self.fleet.decide(
             now=now,
             machines=list(self.machines.values()),
             lacks=self.last_plan.lacks,
             flavors=list(self.flavors.values()),
-            objectives=self.params.objectives,
             tuning=self.tuning,
-            teams=self.teams,
-            usage=usage,
-            settled=now - self.lead_since > self.params.workers.report_s * 3,
+            # After a take-over, machines that are up already have yet to report.
+            settled=self.leading == 1 or now - self.lead_since > 3 * self.params.workers.report_s,
         )
         for want in wants:
             self.on_effects("rent", want)
