--- a/coveflow/planner.py
+++ b/coveflow/planner.py
@@ -14,6 +14,7 @@
 from .settings import Team, Tuning
 
 EPS = 1e-6
+TIGHT = 0.25  # free part of the fleet's CPUs below which it counts as full
 
 
 @dataclass(slots=True)
@@ -294,6 +295,8 @@
     """Choose machines for up to `want` tasks and take their room."""
     spec = job.spec
     options = []
+    total = sum(room.machine.flavor.cpus for room in all_rooms)
+    tight = sum(room.cpus for room in all_rooms) < TIGHT * total
     for room in all_rooms:
         m = room.machine
         if not _usable(m, spec, state.now, guess) or not m.allowed(spec):
@@ -305,8 +308,7 @@
             end = state.now + guess * m.speed
             count = min(count, room.fit_at(spec, state.now, end, job.id))
         if count > 0:
-            cached = spec.image in m.images
-            options.append(((not cached, round(m.speed, 1), room.cpus), m.id, count, room))
+            options.append((_preference(room, spec, tight), m.id, count, room))
     options.sort(key=lambda option: option[:2])
     zones = _zones(job, state)
     if spec.one_zone:
@@ -329,6 +331,22 @@
     return starts
 
 
+def _preference(room: Room, spec: Spec, tight: bool) -> tuple:
+    """Which machine a task takes first.
+
+    While the fleet is full, work that would lose everything keeps off machines the cloud may
+    take back. With room to spare, work gathers on cheap, well-filled machines, so that the
+    dear ones run empty and can be returned.
+    """
+    m = room.machine
+    slow = round(max(0.0, m.speed - 1.0), 1)
+    fetch = spec.image not in m.images
+    if tight:
+        exposed = m.spot if spec.checkpoint_s <= 0 else not m.spot
+        return (slow, fetch, exposed, room.cpus)
+    return (slow, fetch, not m.placements, not m.spot, room.cpus)
+
+
 def _zones(job: Job, state: State) -> dict[str, int]:
     """Where the job's tasks are or may be, by zone."""
     if not (job.spec.one_zone or job.spec.spread):
