Ask the store before renting or returning; reach a cut-off zone's workers through it

In a cut between zones the leader returned all machines it did not hear, though a controller beside them did.

--- a/coveflow/agents.py
+++ b/coveflow/agents.py
@@ -5,6 +5,8 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
 
 from aiohttp import web
 
@@ -12,15 +14,29 @@
 from . import wire
 from .model import Order, Report
 from .net import Unavailable
-from .owner import Heard, Owner
+from .owner import MAIL, REPLY, VIEW, Heard, Owner
 from .peers import RELAY, Peers
 from .settings import Settings
+from .store import Conflict, Store
 
 log = logging.getLogger("coveflow.agents")
 
+MAIL_PACE_S = 0.4  # s between two mails, so that a zone's reports share a write
+MAIL_WAIT_S = 2.4  # s an answer by mail is waited for; the worker gives up after 4
+MAIL_REPLY_S = 0.6  # s the leader collects answers before it replies
 RELAY_SPELL_S = 20.0  # s a bounced worker's reports are relayed before a redirect is tried again
 
 
+@dataclass(slots=True)
+class Posted:
+    """A report that waits for the leader's answer by mail."""
+
+    report: Report
+    data: dict[str, Any]
+    future: asyncio.Future[bytes]
+    number: int = 0  # of the mail that carries it; 0: not written yet
+
+
 class Agents:
     def __init__(
         self,
@@ -29,9 +45,14 @@
         peers: Peers,
         clock: Callable[[], float],
         store_known_at: Callable[[], float],
+        store: Store,
     ) -> None:
         self.settings, self.owner, self.peers, self.clock = settings, owner, peers, clock
         self.store_known_at = store_known_at
+        self.store = store
+        self.posted: dict[str, Posted] = {}
+        self.posting: asyncio.Task[None] | None = None
+        self.mail_no = 0
         self.redirected: dict[str, float] = {}
         self.relay_until: dict[str, float] = {}
         self.kept: dict[str, float] = {}  # machines this node keeps alive for the leader
@@ -59,9 +80,9 @@
             return web.Response(status=503)
         return await self._follow(report, body, now)
 
-    async def lead(self, report: Report) -> bytes | None:
+    async def lead(self, report: Report, patient: bool = True) -> bytes | None:
         reply: asyncio.Future[bytes | None] = asyncio.get_running_loop().create_future()
-        self.owner.put(Heard(report, reply))
+        self.owner.put(Heard(report, reply, patient))
         return await reply
 
     async def relayed(self, body: bytes) -> bytes | None:
@@ -93,9 +114,83 @@
                     return web.Response(body=answer)
             except Unavailable as error:
                 log.debug("relay for %s: %s", machine, error)
+        if self.store.contact > now - c.PEER_FRESH_S:
+            # The leader may be out of reach only from here: the store still reaches it.
+            answer = await self._mailed(machine, report, body)
+            if answer is not None:
+                return web.Response(body=answer)
         self.kept[machine] = now
         return web.Response(body=wire.orders_answer(self.owner.view.epoch, self._stops(report)))
 
+    # --- mail through the store ----------------------------------------------------------
+
+    async def _mailed(self, machine: str, report: Report, body: bytes) -> bytes | None:
+        """Pass the report to the leader through the store; its answer, or None."""
+        future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        self.posted[machine] = post = Posted(report, wire.unpack(body), future)
+        if self.posting is None or self.posting.done():
+            self.posting = asyncio.create_task(self._post())
+        try:
+            return await asyncio.wait_for(future, MAIL_WAIT_S)
+        except TimeoutError:
+            return None
+        finally:
+            if self.posted.get(machine) is post:
+                del self.posted[machine]
+
+    async def _post(self) -> None:
+        room = int(self.settings.params.state.value_kb * 1024 * 0.7)
+        while any(post.number == 0 for post in self.posted.values()):
+            self.mail_no += 1
+            mail: dict[str, Any] = {}
+            size = 0
+            for machine, post in self.posted.items():
+                if post.number:
+                    continue
+                size += len(str(post.data)) + len(machine) + 8
+                if mail and size > room:
+                    break
+                mail[machine] = post.data
+                post.number = self.mail_no
+            value = {"number": self.mail_no, "boot": self.peers.boot, "reports": mail}
+            try:
+                await self.store.commit({}, {MAIL + self.settings.name: value})
+            except (Unavailable, Conflict) as error:
+                log.debug("mail: %s", error)
+            await asyncio.sleep(MAIL_PACE_S)
+
+    def replied(self, value: dict[str, Any]) -> None:
+        """The leader's answers; each is good only for the very report it answers."""
+        if value["boot"] != self.peers.boot:
+            return
+        for machine, (tenure, counter, answer) in value["answers"].items():
+            post = self.posted.get(machine)
+            if (
+                post is not None
+                and (post.report.tenure, post.report.counter) == (tenure, counter)
+                and not post.future.done()
+            ):
+                post.future.set_result(wire.pack(answer))
+
+    async def answer_mail(self, member: str, value: dict[str, Any]) -> None:
+        """On the leader: take in mailed reports and write the answers back."""
+        reports = [wire.report_of(data) for data in value["reports"].values()]
+        tasks = [asyncio.create_task(self.lead(report, patient=False)) for report in reports]
+        if not tasks:
+            return
+        await asyncio.wait(tasks, timeout=MAIL_REPLY_S)
+        answers = {}
+        for report, task in zip(reports, tasks, strict=True):
+            if task.done() and task.result() is not None and self.may_keep_alive():
+                answers[report.machine] = [
+                    report.tenure, report.counter, wire.unpack(task.result())
+                ]  # fmt: skip
+        reply = {"boot": value["boot"], "answers": answers}
+        try:
+            await self.store.commit({VIEW: self.owner.lead_rev}, {REPLY + member: reply})
+        except (Unavailable, Conflict) as error:
+            log.debug("reply to %s: %s", member, error)
+
     def _stops(self, report: Report) -> list[Order]:
         """Only stops, and only for jobs known to be cancelled: nothing else is this node's."""
         orders = []
--- a/coveflow/node.py
+++ b/coveflow/node.py
@@ -51,7 +51,12 @@
         self.membership = Membership(settings, self.store, self.owner, self.clock, self.isolated)
         self.peers = Peers(settings, self.session, self.clock, self.info, self.relayed)
         self.agents = Agents(
-            settings, self.owner, self.peers, self.clock, lambda: self.membership.known_at
+            settings,
+            self.owner,
+            self.peers,
+            self.clock,
+            lambda: self.membership.known_at,
+            self.store,
         )
         self.front = Front(
             settings,
@@ -107,6 +112,10 @@
             self._spawn(self._reread(data), leading=True)
         elif kind == "chunks":
             self._spawn(self._drop_chunks(*data), leading=True)
+        elif kind == "mail":
+            self._spawn(self.agents.answer_mail(*data), leading=True)
+        elif kind == "reply":
+            self.agents.replied(data)
         elif kind == "retake":
             self.membership.retake = True
         elif kind == "stepped_down":
@@ -137,6 +146,18 @@
             log.exception("transaction refused")
             self.owner.put(o.Settled(txn, None, ["refused"]))
 
+    async def _still_leading(self) -> bool:
+        """Whether the store still knows this node as leader, by its own word just now.
+
+        A leader that was cut off from the store, and deposed meanwhile, once gave the whole
+        fleet back because it heard no worker any more.
+        """
+        try:
+            await self.store.commit({o.VIEW: self.owner.lead_rev}, {})
+        except Conflict:
+            return False
+        return True
+
     async def _rent(self, want: fleet.Want) -> None:
         """Ask under one fresh name until it is answered; a name is never used twice."""
         name = f"{self.settings.name}-{uuid.uuid4().hex}"
@@ -144,6 +165,8 @@
         log.info("asking for %s", want.label())
         while True:
             try:
+                if not await self._still_leading():
+                    return
                 machines = await self.cloud.rent(
                     name, want.flavor, want.zone, want.spot, want.count
                 )
@@ -161,6 +184,8 @@
         pause = c.RETRY_S
         while True:
             try:
+                if not await self._still_leading():
+                    return
                 await self.cloud.give_back(machines)
                 self.owner.put(o.Returned(machines))
                 return
--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -40,6 +40,8 @@
 TYPES = "in/types"
 MEMBER = "in/member/"
 JOB = "in/job/"
+MAIL = "in/mail/"  # reports of workers that only a cut-off member hears
+REPLY = "in/reply/"  # the leader's answers to them
 OLD = "old/"
 STATE = "st/"
 RUN = "st/run/"
@@ -91,6 +93,7 @@
 class Heard:
     report: Report
     reply: asyncio.Future[bytes | None]
+    patient: bool = True  # the answer may wait for new work
 
 
 @dataclass(slots=True)
@@ -315,6 +318,11 @@
                 self.members[name] = rev
         elif key.startswith(JOB):
             self._job_row(key[len(JOB) :], value, rev)
+        elif value is not None and key.startswith(MAIL):
+            if self.leading and key[len(MAIL) :] != self.settings.name:
+                self.on_effects("mail", (key[len(MAIL) :], value))
+        elif value is not None and key == REPLY + self.settings.name:
+            self.on_effects("reply", value)
 
     def _job_row(self, name: str, value: Any, rev: int) -> None:
         if value is None:
@@ -547,7 +555,7 @@
             m.ends_at = ends if m.ends_at is None else min(m.ends_at, ends)
         news = self._tasks(m, report, now)
         self._drain(m, now)
-        self._answer_or_hold(m, report, reply, news, now)
+        self._answer_or_hold(m, report, reply, news, now, command.patient)
 
     def _tasks(self, m: Machine, report: Report, now: float) -> bool:
         """Take in the report's task list; whether it proves any end."""
@@ -648,13 +656,14 @@
         reply: asyncio.Future[bytes | None],
         news: bool,
         now: float,
+        patient: bool,
     ) -> None:
         held = Held(report, reply, 0.0, news)
         if news:
             # The commit of these ends will often bring the next run for the same worker.
             held.until = now + c.HOLD_ANSWER_S
             self.pass_due = True
-        elif not self._orders(m, report, peek=True) and self._may_wait(m):
+        elif patient and not self._orders(m, report, peek=True) and self._may_wait(m):
             held.until = now + c.IDLE_ANSWER_PART * self.params.workers.report_s
         if held.until > now:
             self.held[m.id] = held
--- a/coveflow/wire.py
+++ b/coveflow/wire.py
@@ -214,6 +214,11 @@
     )
 
 
+def report_of(data: dict[str, Any]) -> Report:
+    """A report that came through the store as plain data."""
+    return read_report(pack(data))
+
+
 def orders_answer(epoch: int, orders: list[Order]) -> bytes:
     return pack({"epoch": epoch, "orders": [_order(order) for order in orders]})
 
