Let a late deadline job's value fall ten times faster; remember jobs that are over

Cause 1: in a burst, jobs that were late already kept their place and made the next ones late. Cause 2: the watch re-told a finished job's last change, the leader took it in again and had to step down on the conflict.

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -29,6 +29,7 @@
 CHUNK_TASKS = 1024  # tasks per progress record; alternating ranges stay under 5 KiB
 MACHINE_PLACEMENTS = 200  # placements on one machine's record, keeping it under 8 KiB
 TERMINAL_CACHE = 20_000  # jobs whose final state a node remembers without asking
+REMOVED_KEPT = 2_000  # jobs whose removal is remembered against late changes of the watch
 
 # --- peers and reports -----------------------------------------------------------------
 PING_S = 0.5  # s between pings to each peer
--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -188,6 +188,7 @@
         self.types_rev = 0
         self.terminal: OrderedDict[str, tuple[str, int]] = OrderedDict()
         self.inbox_rev = -1
+        self.removed: OrderedDict[str, int] = OrderedDict()  # jobs over, by their last revision
         # Leader only.
         self.leading = 0  # epoch this process leads; 0: it does not
         self.lead_rev = 0
@@ -333,6 +334,10 @@
         known = self.accepted.get(name)
         if known is not None and rev <= known.rev:
             return
+        if rev <= self.removed.get(name, -1):
+            # The watch may tell a job's last change after its end was committed here; a job
+            # taken in again that way once conflicted with its own final record.
+            return
         spec = known.spec if known is not None else msgspec.convert(value["spec"], Spec)
         entry = Accepted(spec, value["at"], rev, value.get("cancel"))
         self.accepted[name] = entry
@@ -1058,6 +1063,9 @@
             log.info("job %s: %s", job.id, status)
             self.jobs.pop(job.id, None)
             self.accepted.pop(job.id, None)
+            self.removed[job.id] = rev
+            if len(self.removed) > c.REMOVED_KEPT:
+                self.removed.popitem(last=False)
             self.unsettled.pop(job.id, None)
             if job.chunk_revs:
                 self.on_effects("chunks", (job.id, dict(job.chunk_revs)))
--- a/coveflow/settings.py
+++ b/coveflow/settings.py
@@ -99,7 +99,7 @@
     cycle_s: Positive = 5.0
     horizon_s: Positive = 300.0
     wait_s: NotNegative = 60.0
-    slope: Positive = 1.0
+    slope: Positive = 10.0
     stop_ratio: Positive = 1000.0
     stop_margin: NotNegative = 0.05
     stop_growth: Annotated[float, msgspec.Meta(ge=1)] = 4.0
