--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -53,6 +53,7 @@
 
 # --- planning --------------------------------------------------------------------------
 EVENT_PASS_S = 0.1  # s between two cheap passes, so that exits share one
+ARRIVAL_CYCLE_S = 0.5  # s between two full cycles that newly arrived jobs bring forward
 COMMIT_PACE_S = 0.08  # s between two scheduling commits, so that changes share one
 HISTORY_WRITE_S = 20.0  # s between two writes of the histories
 HISTORY_BYTES = 6 * 1024  # bytes of one history record, below the smallest value limit seen
--- a/coveflow/fleet.py
+++ b/coveflow/fleet.py
@@ -10,7 +10,8 @@
 from .planner import Lack, fit
 from .settings import Tuning
 
-REFUSED_S = 8.0  # s before a type, zone and kind that was refused is asked for again
+BEST_EFFORT_S = 8.0  # s a best-effort job waits for room before a machine is rented for it
+REFUSED_S = 15.0  # s before a type, zone and kind that was refused is asked for again
 
 
 @dataclass(slots=True, frozen=True)
@@ -142,6 +143,8 @@
         counts: dict[tuple[str, str, bool], int] = {}
         for lack in lacks:
             spec, left = lack.spec, lack.count
+            if not lack.urgent and lack.waited < BEST_EFFORT_S:
+                continue
             for machine in coming:
                 if left <= 0:
                     break
@@ -183,8 +186,6 @@
             slots = fit(flavor.cpus, flavor.ram_gb, flavor.accelerators, spec)
             if slots <= 0:
                 continue
-            if lack.planned - now < flavor.boot_s:
-                continue  # running work ends before a new machine could be up
             for zone in flavor.zones:
                 if spec.zone is not None and zone != spec.zone:
                     continue
@@ -224,7 +225,10 @@
         idle.sort(key=lambda m: -m.flavor.rate(m.spot) / max(m.flavor.cpus, 1.0))
         returns = []
         for m in idle:
-            if now - (m.idle_since or now) < wait or now - m.born < c.RETURNED_COST_S / 2:
+            if (
+                now - (m.idle_since or now) < wait
+                or now - m.born < c.RETURNED_COST_S - m.flavor.boot_s
+            ):
                 continue
             if m.ends_at is not None:
                 continue
--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -211,6 +211,9 @@
         self.next_commit = 0.0
         self.next_pass = 0.0
         self.next_cycle = 0.0
+        self.last_cycle = self.last_regular = -math.inf
+        self.fleet_due = False
+        self.arrivals = False  # a job came since the last full cycle
         self.pass_due = False
         self.last_plan = planner.Plan()
         self.predictor = Predictor(self.tuning.estimators, self.tuning.decay, self.tuning.recent)
@@ -268,10 +271,12 @@
             case Rented():
                 if self.leading:
                     self.fleet.rented(command.want, command.machines, self.clock())
+                    self.fleet_due = True
                     log.info("rented %s: %s", command.want.label(), " ".join(command.machines))
             case Refused():
                 if self.leading:
                     self.fleet.refused(command.want, self.clock())
+                    self.fleet_due = True
             case Returned():
                 if self.leading:
                     for machine in command.machines:
@@ -445,6 +450,7 @@
             job = Job(entry.spec, entry.at, entry.rev, seen_at=self.clock())
             job.refill()
             self.jobs[job.id] = job
+            self.arrivals = True
             log.info(
                 "job %s: %d tasks of %s (%g CPUs each%s) for %s",
                 job.id,
@@ -736,10 +742,15 @@
 
     def advance(self) -> None:
         now = self.clock()
+        if self.arrivals and now >= self.last_cycle + c.ARRIVAL_CYCLE_S:
+            self.next_cycle = now
         if now >= self.next_cycle and now >= self.next_pass:
             self._pass(now, full=True)
         elif self.pass_due and now >= self.next_pass:
             self._pass(now, full=False)
+        if self.fleet_due:
+            # What one type, zone or kind refused is asked of the next at once.
+            self._fleet(now)
         if self.in_flight is None and now >= self.next_commit:
             txn = self._build(now)
             if txn is not None:
@@ -771,8 +782,11 @@
         for job in self.jobs.values():
             job.guess_s = self.guess(job)
         if full:
+            if now >= self.last_regular + self.tuning.cycle_s:
+                self.last_regular = now
+                self._grow_overruns(now)
             self.next_cycle = now + self.tuning.cycle_s
-            self._grow_overruns(now)
+            self.last_cycle, self.arrivals = now, False
         state = planner.State(
             jobs=list(self.jobs.values()),
             machines=[m for m in self.machines.values() if self._heard_lately(m, now)],
@@ -791,8 +805,6 @@
         )
         if full:
             self.last_plan = plan
-        else:
-            self.last_plan.lacks = plan.lacks
         for start in plan.starts:
             job, m = self.jobs[start.job], self.machines[start.machine]
             for _ in range(start.count):
@@ -808,7 +820,8 @@
             for p in job.placed.values():
                 p.stopping, p.grace_s = True, job.spec.save_s + 1.0
                 self._wake(p.machine)
-        self._fleet(now)
+        if full:
+            self._fleet(now)
         took = self.clock() - started
         self.next_pass = now + max(c.EVENT_PASS_S, 4 * took)
 
@@ -824,6 +837,7 @@
                     p.overrun += 1
 
     def _fleet(self, now: float) -> None:
+        self.fleet_due = False
         wants, returns = self.fleet.decide(
             now=now,
             machines=list(self.machines.values()),
--- a/coveflow/planner.py
+++ b/coveflow/planner.py
@@ -14,6 +14,7 @@
 from .settings import Team, Tuning
 
 EPS = 1e-6
+SLACK = 0.8  # part of a guess that a planned end must keep before the deadline
 TIGHT = 0.25  # free part of the fleet's CPUs below which it counts as full
 
 
@@ -38,12 +39,12 @@
 
 @dataclass(slots=True)
 class Lack:
-    """Tasks that no machine that is up can start now."""
+    """Tasks that the machines that are up cannot start in time."""
 
     spec: Spec
     count: int
     urgent: bool
-    planned: float  # earliest planned start; inf: none within the horizon
+    waited: float  # s since the job came
 
 
 @dataclass(slots=True)
@@ -253,11 +254,12 @@
             continue
         deadline = spec.deadline_s is not None
         waited = state.now - state.arrived[job.id]
-        planned = math.inf
+        planned, late = math.inf, left
         if full and (deadline or job.id in inside or waited > tuning.wait_s):
-            planned = _hold(job, left, all_rooms, state, guess, tuning)
+            planned, late = _hold(job, left, all_rooms, state, guess, tuning)
         urgent = deadline or job.id in inside
-        result.lacks.append(Lack(spec, left, urgent, planned))
+        if late:
+            result.lacks.append(Lack(spec, late, urgent, waited))
         if full and urgent:
             chosen = _stops(job, left, planned, state, tuning, guesses, inside, stopped, all_rooms)
             stopped.update(chosen)
@@ -382,8 +384,12 @@
 
 def _hold(
     job: Job, left: int, all_rooms: list[Room], state: State, guess: float, tuning: Tuning
-) -> float:
-    """Plan the earliest starts of the rest and hold their room; the last planned start."""
+) -> tuple[float, int]:
+    """Plan the earliest starts of the rest and hold their room.
+
+    Returns the last planned start, and how many tasks are planned too late for the deadline
+    (with some slack, as guesses err) or not at all.
+    """
     spec = job.spec
     moments: list[tuple[float, int]] = []
     limit = state.now + tuning.horizon_s
@@ -396,7 +402,8 @@
         times = {release[0] for release in room.releases} | {h.end for h in room.holds}
         moments += [(t, index) for t in times if t <= limit]
     moments.sort()
-    last = math.inf
+    due = state.arrived[job.id] + (spec.deadline_s or 0.0) - SLACK * guess
+    late = 0
     for moment, index in moments:
         room = all_rooms[index]
         end = moment + guess * room.machine.speed
@@ -414,10 +421,11 @@
             )
         )
         left -= count
-        last = moment
+        if spec.deadline_s is None or end > due:
+            late += count
         if left <= 0:
-            return last
-    return math.inf
+            return moment, late
+    return math.inf, late + left
 
 
 def stop_cost(job: Job, tuning: Tuning, now: float, arrived: float, guess: float) -> float:
