Check every rule in a simulated world with generated faults; count silent machines' zones

The world drives the real owner, model and planner in virtual time. It found a real defect: a job bound to one zone was started in the other while its tasks sat on silent machines. Three tests break a safety rule on purpose and show that the world notices.

--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -793,6 +793,7 @@
             teams=self.teams,
             usage=self.usage(),
             now=now,
+            where={m.id: m.zone for m in self.machines.values()},
             arrived={job.id: now - max(0.0, wall - job.arrived) for job in self.jobs.values()},
         )
         guesses = {job.id: job.guess_s for job in self.jobs.values()}
--- a/coveflow/planner.py
+++ b/coveflow/planner.py
@@ -134,8 +134,7 @@
     usage: dict[str, tuple[float, float]]  # cpus and accelerators of each team's placements
     now: float
     arrived: dict[str, float]  # arrival of each job on the planner's clock
-    fetch_s: float = 0.0
-    booting: list[tuple[float, Machine]] = field(default_factory=list)
+    where: dict[str, str] = field(default_factory=dict)  # zone of every machine, heard or not
 
 
 def remaining(
@@ -353,7 +352,9 @@
     """Where the job's tasks are or may be, by zone."""
     if not (job.spec.one_zone or job.spec.spread):
         return {}
-    where = {m.id: m.zone for m in state.machines}
+    # Silent machines count too: a job bound to one zone was once started in another while
+    # its tasks sat on machines that could not be heard.
+    where = state.where
     counts: dict[str, int] = {}
     for p in job.placed.values():
         zone = where.get(p.machine)
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,170 @@
+"""The rules of the protocol under generated faults, and proof that the checks can fail."""
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from coveflow import owner as o
+from tests.samples import spec
+from tests.world import Broken, World
+
+FAULTS = st.lists(
+    st.tuples(
+        st.floats(2.0, 70.0),
+        st.sampled_from(
+            ["crash", "crash_all", "take_over", "deaf", "cut_node", "cut_worker", "store", "cancel"]
+        ),
+        st.integers(0, 5),
+        st.floats(1.0, 30.0),
+    ),
+    min_size=1,
+    max_size=6,
+)
+SHAPES = st.lists(
+    st.tuples(st.integers(1, 12), st.sampled_from([1.0, 2.0, 4.0]), st.integers(0, 4)),
+    min_size=1,
+    max_size=5,
+)
+
+
+def add_jobs(world: World, shapes) -> None:
+    for i, (tasks, cpus, kind) in enumerate(shapes):
+        name = f"j-{i:06d}"
+        job = spec(
+            name, tasks=tasks, cpus=cpus, one_zone=kind == 1, spread=kind == 2,
+            zone="north" if kind == 3 else None, deadline_s=60.0 if kind == 4 else None,
+            priority=1 if kind == 4 else 0,
+        )  # fmt: skip
+        world.at(0.5 + i, lambda j=job: world.submit(j))
+
+
+def add_faults(world: World, faults) -> None:
+    for at, kind, index, length in faults:
+        node = "abc"[index % 3]
+        heir = "abc"[(index + 1) % 3]
+
+        def act(kind=kind, node=node, heir=heir, index=index, length=length) -> None:
+            workers = list(world.workers.values())
+            if kind == "crash":
+                world.crash(node)
+                world.at(3.0, lambda: world.elect(heir))
+            elif kind == "crash_all":
+                for name in "abc":
+                    world.crash(name)
+                world.at(9.0, lambda: world.elect(node))
+            elif kind == "take_over":
+                world.elect(node)  # the old leader does not know yet
+            elif kind == "deaf":
+                world.deaf[node] = world.now + length
+                world.elect(heir)
+            elif kind == "cut_node":
+                world.cut_nodes[node] = world.now + length
+                world.at(3.0, lambda: world.elect(heir))
+            elif kind == "cut_worker":
+                workers[index % len(workers)].cut_until = world.now + length
+            elif kind == "store":
+                world.store_down_until = world.now + length
+            elif kind == "cancel":
+                world.cancel(f"j-{index:06d}")
+
+        world.at(at, act)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+@given(st.integers(0, 10_000), SHAPES, FAULTS)
+def test_no_rule_breaks_and_all_work_ends_whatever_fails(seed, shapes, faults):
+    world = World(seed)
+    add_jobs(world, shapes)
+    add_faults(world, faults)
+    world.run(100.0)
+    # Everything is whole again: one leader, and what was accepted comes to its end.
+    world.at(12.0, lambda: world.elect("b"))
+    world.run(500.0)
+    assert set(world.told) == set(world.specs), "accepted jobs never ended"
+    assert world.starts
+
+
+def provoke(seeds: int, tamper) -> None:
+    """Run rough days with a broken controller until a rule breaks."""
+    for seed in range(seeds):
+        world = World(seed)
+        world.tamper = tamper
+        for name in "abc":
+            world.boot(name)
+        world.elect("a")
+        add_jobs(world, [(12, 1.0, 0), (8, 2.0, 0), (9, 1.0, 2)])
+        faults = [
+            (4.0 + seed % 7, "cut_worker", seed % 4, 25.0),
+            (6.0 + seed % 3, "cut_node", 0, 12.0),
+            (30.0, "crash", 1, 5.0),
+        ]
+        add_faults(world, faults)
+        world.run(90.0)
+
+
+def test_the_world_notices_a_placement_without_proof():
+    def tamper(world, name, owner):
+        honest = owner._tick
+
+        def impatient():
+            for m in list(owner.machines.values()):
+                if world.now - m.heard > 4.0:  # time alone stands in for a proof
+                    owner._machine_gone(m.id, "silent")
+            honest()
+
+        owner._tick = impatient
+
+    with pytest.raises(Broken, match="ran_twice"):
+        provoke(30, tamper)
+
+
+def two_leaders(seed: int, tamper_txn) -> None:
+    """One node takes over while the old leader has not been told and workers hear either."""
+    world = World(seed, machines=6)
+    world.limits["blue"] = 1000.0
+    world.teams[0]["cpus_max"] = 0.0
+    for name in "abc":
+        world.boot(name)
+    world.elect("a")
+    world.tamper_txn = tamper_txn
+    add_jobs(world, [(60, 2.0, 0), (30, 1.0, 0)])
+
+    def split() -> None:
+        world.deaf["a"] = world.now + 30.0
+        world.elect("b")
+        for index, worker in enumerate(world.workers.values()):
+            worker.node = "ab"[index % 2]
+
+    world.at(5.0, split)
+    world.run(60.0)
+
+
+def test_a_leader_that_was_not_told_of_its_end_does_no_harm():
+    for seed in range(10):
+        two_leaders(seed, lambda txn: None)
+
+
+def test_the_world_notices_commits_that_do_not_guard_the_view():
+    with pytest.raises(Broken):
+        for seed in range(30):
+            two_leaders(seed, lambda txn: txn.guards.pop(o.VIEW, None))
+
+
+def test_the_world_notices_a_clear_before_its_commit():
+    def tamper(world, name, owner):
+        honest = owner._orders
+
+        def hasty(m, report, peek=False):
+            held, m.clearing = m.clearing, set()
+            try:
+                return honest(m, report, peek)
+            finally:
+                m.clearing = held
+
+        owner._orders = hasty
+        owner._answer_or_hold = lambda m, report, reply, *_: owner._answer(
+            m, o.Held(report, reply, 0.0, False)
+        )
+
+    with pytest.raises(Broken, match="run after clear"):
+        provoke(60, tamper)
