--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,90 @@
+"""Settings files: what is wrong is named, what is unknown in the deploy file is ignored."""
+
+import contextlib
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from coveflow import cli
+from coveflow import settings as s
+
+DEPLOY = """
+host_name = "host-0"
+area = "north"
+front = "10.0.0.1:8080"
+cluster_listen = "10.0.0.1:8081"
+future_field = 7
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+size = 1
+zones = ["north"]
+[params.workers]
+report_s = 0.8
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 8.0
+cancel_s = 40.0
+[params.state]
+rps = 250.0
+write_rps = 50.0
+value_kb = 16.0
+txn_ops = 32
+[params.cloud]
+rps = 3.0
+"""
+
+
+def test_check_accepts_a_good_file_and_ignores_unknown_fields(tmp_path, capsys):
+    path = tmp_path / "node.toml"
+    path.write_text(DEPLOY)
+    assert cli.main(["check", str(path)]) == 0
+    assert "good" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ("lease_s = 10.0", 'lease_s = "long"', "lease_s"),
+        ("lease_s = 10.0", "lease_s = -1.0", "lease_s"),
+        ('front = "10.0.0.1:8080"', 'front = "nowhere"', "nowhere"),
+        ("txn_ops = 32", "", "txn_ops"),
+        ("[params.cloud]", "[params.cloud", "line"),
+    ],
+)
+def test_check_names_what_is_wrong_and_exits_with_2(tmp_path, capsys, old, new, named):
+    path = tmp_path / "node.toml"
+    path.write_text(DEPLOY.replace(old, new))
+    assert cli.main(["check", str(path)]) == 2
+    assert named in capsys.readouterr().err
+
+
+def test_tuning_is_read_from_s_expressions():
+    tuning = s.parse_tuning("(coveflow (cycle-s 2.5) (estimators average median) (spare 0.2))")
+    assert (tuning.cycle_s, tuning.estimators, tuning.spare) == (2.5, ("average", "median"), 0.2)
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("(coveflow (cycle-s 0))", "cycle-s"),
+        ("(coveflow (cycles 5))", "cycles"),
+        ("(coveflow (estimators mode))", "mode"),
+        ("(coveflow (cycle-s 1) (cycle-s 2))", "twice"),
+        ("(other)", "coveflow"),
+        ("(coveflow cycle-s)", "cycle-s"),
+        ("(coveflow", "S-expression"),
+    ],
+)
+def test_a_bad_form_is_named(text, named):
+    with pytest.raises(s.SettingsError, match=named):
+        s.parse_tuning(text)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.text(max_size=60))
+def test_garbage_is_only_ever_a_settings_error(text):
+    with contextlib.suppress(s.SettingsError):
+        s.parse_tuning(text)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,110 @@
+"""Bodies on the wire: what is valid survives, what is not is refused and nothing else."""
+
+import math
+
+import cbor2
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from coveflow import wire
+from coveflow.model import Order, ranges, unranges
+
+GOOD = {
+    "name_id": "j-000412", "workload": "train", "owner": "vision", "shape": "gang",
+    "urgency": "high", "pieces": 16, "cpus": 8.0, "accelerators": 1, "ram_gb": 64.0,
+    "bundle": "img-07", "size_gb": 6.2, "flavors": ["g8"], "site": None, "same_place": True,
+    "scatter": False, "borrowed": True, "expected_s": 240.0, "snapshot_s": 30.0, "flush_s": 4.0,
+    "due_s": 900.0, "unknown_field": [1, 2],
+}  # fmt: skip
+
+JUNK = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.binary(),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(), inner, max_size=4),
+    max_leaves=10,
+)
+
+
+def test_a_submission_is_read_and_unknown_fields_are_ignored():
+    spec = wire.read_work(cbor2.dumps(GOOD))
+    assert (spec.id, spec.kind, spec.tasks, spec.accelerators) == ("j-000412", "gang", 16, 1.0)
+
+
+@pytest.mark.parametrize("field", ["flavors", "site", "due_s"])
+def test_fields_that_may_be_null_may_be_absent(field):
+    body = {k: v for k, v in GOOD.items() if k != field}
+    assert wire.read_work(cbor2.dumps(body)) == wire.read_work(cbor2.dumps(GOOD | {field: None}))
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.sampled_from(sorted(set(GOOD) - {"unknown_field"})), JUNK)
+def test_a_wrong_field_is_malformed_or_harmless(field, junk):
+    try:
+        spec = wire.read_work(cbor2.dumps(GOOD | {field: junk}))
+    except wire.Malformed:
+        return
+    numbers = (spec.cpus, spec.ram_gb, spec.accelerators, spec.image_gb, spec.expected_s)
+    assert all(math.isfinite(n) and n >= 0 for n in numbers)
+    assert 1 <= spec.tasks <= 100_000
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"name_id": "x-1"}, {"name_id": 7}, {"pieces": 0}, {"pieces": 100_001}, {"pieces": 1.5},
+        {"pieces": True}, {"cpus": -1.0}, {"cpus": math.nan}, {"cpus": math.inf},
+        {"urgency": "top"}, {"shape": "heap"}, {"flavors": "g8"}, {"due_s": "soon"},
+        {"same_place": 1}, {"owner": None}, {"name_id": "j-1/2"}, {"flavors": []},
+    ],
+)  # fmt: skip
+def test_what_a_job_cannot_be_is_malformed(change):
+    with pytest.raises(wire.Malformed):
+        wire.read_work(cbor2.dumps(GOOD | change))
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=200) | JUNK.map(cbor2.dumps))
+def test_garbage_is_malformed_for_every_reader(body):
+    for reader in (wire.read_work, wire.read_report, wire.read_flavors, wire.read_hosts):
+        with pytest.raises(wire.Malformed):
+            reader(body)
+    assert wire.work_id(body) is None
+
+
+def test_nesting_without_end_is_malformed():
+    with pytest.raises(wire.Malformed):
+        wire.read_work(b"\x81" * 60_000)
+
+
+def test_a_report_is_read():
+    report = wire.read_report(cbor2.dumps({
+        "host": "n-1", "endpoint": "10.0.0.1:9", "flavor": "g8", "site": "a", "borrowed": True,
+        "tenure": 1, "counter": 88, "epoch": 41, "warning_s": None,
+        "pieces": [
+            {"piece": "j-000412/3", "try": 2, "status": "running"},
+            {"piece": "j-000398/0", "try": 1, "status": "exited", "cause": "halted", "kept": True},
+        ],
+    }))  # fmt: skip
+    assert report.tasks[0].task == 3 and report.tasks[1].saved and report.notice_s is None
+
+
+def test_orders_are_spelt_as_the_workers_read_them():
+    stop = Order("stop", "j-000377", 1, 1, grace_s=10)
+    assert cbor2.loads(wire.orders_answer(41, [stop, Order("run", "j-000412", 4, 2)])) == {
+        "epoch": 41,
+        "orders": [
+            {"verb": "stop", "piece": "j-000377/1", "try": 1, "wind_down_s": 10},
+            {"verb": "run", "piece": "j-000412/4", "try": 2},
+        ],
+    }
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.sets(st.integers(0, 5000)))
+def test_ranges_keep_every_task(tasks):
+    assert set(unranges(ranges(tasks))) == tasks
+
+
+def test_the_worst_progress_record_fits_the_smallest_value():
+    flat = ranges(range(98_304, 99_328, 2))
+    assert len(str(flat)) < 8 * 1024
