--- a/coveflow/fleet.py
+++ b/coveflow/fleet.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 
 from . import constants as c
-from .model import Flavor, Listed, Machine, Spec
-from .planner import Lack, fit
+from .model import Flavor, Listed, Machine, Placement, Spec
+from .planner import EPS, Lack, fit
 from .settings import Tuning
 
 BEST_EFFORT_S = 8.0  # s a best-effort job waits for room before a machine is rented for it
+DRAIN_USED = 0.5  # part of a machine's CPUs in use up to which moving its tasks may pay
+DRAIN_MOST = 2  # machines that drain at the same time
+DRAIN_LEFT_S = 30.0  # s a task must have left to be worth moving: a save, a fetch and a start
+DRAIN_RAN_S = 35.0  # s a task must have run; a start that is stopped earlier counts as none
 REFUSED_S = 15.0  # s before a type, zone and kind that was refused is asked for again
 
 
@@ -200,6 +205,66 @@
                         best = (rank, (flavor, zone, spot))
         return best[1] if best else None
 
+    def drains(
+        self,
+        now: float,
+        machines: list[Machine],
+        lacks: list[Lack],
+        left: Callable[[Placement], float],
+        spec_of: Callable[[str], Spec],
+    ) -> list[str]:
+        """Machines whose few, saving tasks are better moved, so that they can be returned.
+
+        After a rush the last long tasks kept nearly empty machines up for minutes.
+        """
+        moving = sum(m.draining for m in machines)
+        if lacks or moving >= DRAIN_MOST:
+            return []
+        homes = [
+            m
+            for m in machines
+            if m.up and not (m.returning or m.draining or m.suspect) and m.ends_at is None
+        ]
+        candidates: list[tuple[float, Machine, list[Spec]]] = []
+        for m in homes:
+            used = m.flavor.cpus - m.cpus
+            if not m.placements or used > DRAIN_USED * m.flavor.cpus:
+                continue
+            if now - m.born < c.RETURNED_COST_S:
+                continue
+            specs = [spec_of(p.job) for p in m.placements.values()]
+            if any(s.checkpoint_s <= 0 or s.kind != "array" for s in specs) or any(
+                p.stopping
+                or p.state != "running"
+                or left(p) < DRAIN_LEFT_S
+                or now - (p.since or now) < DRAIN_RAN_S
+                for p in m.placements.values()
+            ):
+                continue
+            candidates.append((m.flavor.rate(m.spot) / max(used, EPS), m, specs))
+        candidates.sort(key=lambda entry: (-entry[0], entry[1].id))
+        rooms = {
+            m.id: Virtual(m.flavor, m.zone, m.spot, m.cpus, m.ram_gb, m.accelerators)
+            for m in homes
+            if m.placements
+        }
+        chosen: list[str] = []
+        for _, m, specs in candidates:
+            if len(chosen) + moving >= DRAIN_MOST:
+                break
+            per_cpu = m.flavor.rate(m.spot) / max(m.flavor.cpus, EPS)
+            others = {
+                name: replace(room)
+                for name, room in rooms.items()
+                if name != m.id
+                and room.flavor.rate(room.spot) / max(room.flavor.cpus, EPS) <= per_cpu + EPS
+            }
+            if all(any(room.put(s, 1) for room in others.values()) for s in specs):
+                rooms |= others
+                del rooms[m.id]
+                chosen.append(m.id)
+        return chosen
+
     def _returns(
         self,
         now: float,
--- a/coveflow/model.py
+++ b/coveflow/model.py
@@ -208,6 +208,7 @@
     idle_since: float | None = None
     ends_at: float | None = None  # end announced by a spot notice
     returning: bool = False
+    draining: bool = False  # its tasks move elsewhere, then it goes back
     suspect: bool = False
     failed_jobs: set[str] = field(default_factory=set)
     images: OrderedDict[str, float] = field(default_factory=OrderedDict)
--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -852,6 +852,22 @@
             self.on_effects("rent", want)
         if returns:
             self._return(returns, "idle")
+        drains = self.fleet.drains(
+            now,
+            list(self.machines.values()),
+            self.last_plan.lacks,
+            lambda p: planner.remaining(
+                p.since, self.jobs[p.job].guess_s, now, p.overrun, self.tuning.cycle_s
+            ),
+            lambda name: self.jobs[name].spec,
+        )
+        for name in drains:
+            m = self.machines[name]
+            m.draining = True
+            log.info("machine %s drains: %d tasks move", name, len(m.placements))
+            for p in m.placements.values():
+                p.stopping, p.grace_s = True, self.jobs[p.job].spec.save_s + 1.0
+            self._wake(name)
 
     def _return(self, names: list[str], why: str) -> None:
         for name in names:
--- a/coveflow/planner.py
+++ b/coveflow/planner.py
@@ -284,7 +284,7 @@
 
 
 def _usable(machine: Machine, spec: Spec, now: float, guess: float) -> bool:
-    if not machine.up or machine.returning or machine.suspect:
+    if not machine.up or machine.returning or machine.draining or machine.suspect:
         return False
     # A machine with a spot notice takes only what it can still finish.
     return machine.ends_at is None or now + guess * machine.speed < machine.ends_at
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,93 @@
+"""Renting and returning, by hand-made examples."""
+
+from coveflow.fleet import Fleet, Want
+from coveflow.model import Job, Machine
+from coveflow.planner import Lack
+from coveflow.settings import Tuning
+from tests.samples import flavor, spec
+
+SMALL = flavor("m8", zones=["north"])
+LARGE = flavor("m16", cpus=16.0, ram_gb=64.0, price=1.0, spot_price=0.3, zones=["north"])
+
+
+def decide(fleet, now=0.0, machines=(), lacks=()):
+    return fleet.decide(
+        now=now,
+        machines=list(machines),
+        lacks=list(lacks),
+        flavors=[SMALL, LARGE],
+        tuning=Tuning(),
+        settled=True,
+    )
+
+
+def lack(count, urgent=True, **changes):
+    return Lack(spec(tasks=count, **changes), count, urgent, 60.0)
+
+
+def up(name, **changes):
+    m = Machine(name, "", SMALL, "north", False)
+    m.up = True
+    m.born = -1000.0
+    for key, value in changes.items():
+        setattr(m, key, value)
+    return m
+
+
+def test_the_cheapest_that_fits_is_rented_and_spot_only_where_allowed():
+    assert decide(Fleet(), lacks=[lack(16)])[0] == [Want("m8", "north", True, 2)]
+    assert decide(Fleet(), lacks=[lack(16, spot=False)])[0] == [Want("m8", "north", False, 2)]
+    assert decide(Fleet(), lacks=[lack(1, cpus=12.0)])[0] == [Want("m16", "north", True, 1)]
+
+
+def test_what_is_asked_or_booting_is_not_asked_again():
+    fleet = Fleet()
+    wants, _ = decide(fleet, lacks=[lack(16)])
+    assert decide(fleet, lacks=[lack(16)])[0] == []
+    fleet.rented(wants[0], ["n-1", "n-2"], 1.0)
+    assert decide(fleet, now=2.0, lacks=[lack(16)])[0] == []
+
+
+def test_a_refusal_leads_to_the_next_kind_at_once():
+    """Refused kinds were asked by turns and the ordinary machines never were."""
+    fleet = Fleet()
+    asked = []
+    for now in range(6):
+        for want in decide(fleet, now=float(now), lacks=[lack(16)])[0]:
+            asked.append(want.key)
+            fleet.refused(want, float(now))
+    assert len(set(asked)) == len(asked) == 4
+
+
+def test_idle_machines_go_back_after_a_while_and_not_while_work_waits():
+    fleet, m = Fleet(), up("n-1")
+    assert decide(fleet, now=0.0, machines=[m])[1] == []
+    assert decide(fleet, now=30.0, machines=[m], lacks=[lack(1)])[1] == []
+    assert decide(fleet, now=30.0, machines=[m])[1] == ["n-1"]
+
+
+def test_machines_that_never_come_up_are_returned():
+    fleet = Fleet()
+    fleet.rented(Want("m8", "north", True, 1), ["n-9"], 0.0)
+    assert fleet.overdue(60.0, {"m8": SMALL}) == []
+    assert fleet.overdue(200.0, {"m8": SMALL}) == ["n-9"]
+
+
+def test_a_nearly_empty_machine_drains_if_its_tasks_fit_elsewhere_and_save():
+    saving = Job(spec("j-1", tasks=8, checkpoint_s=10.0, save_s=2.0), 0.0, 1)
+    plain = Job(spec("j-2", tasks=2), 0.0, 1)
+    for job in (saving, plain):
+        job.refill()
+    few, many = up("n-1"), up("n-2")
+
+    def drains():
+        jobs = {"j-1": saving, "j-2": plain}
+        return Fleet().drains(100.0, [few, many], [], lambda p: 60.0, lambda name: jobs[name].spec)
+
+    for machine, count in ((few, 2), (many, 6)):
+        for _ in range(count):
+            p = saving.place(machine, 0.0)
+            p.since, p.state = 0.0, "running"
+    assert drains() == ["n-1"]
+    plain.place(few, 0.0).state = "running"
+    assert drains() == []
