--- a/coveflow/fleet.py
+++ b/coveflow/fleet.py
@@ -237,7 +237,8 @@
                 p.stopping
                 or p.state != "running"
                 or left(p) < DRAIN_LEFT_S
-                or now - (p.since or now) < DRAIN_RAN_S
+                or p.since is None
+                or now - p.since < DRAIN_RAN_S
                 for p in m.placements.values()
             ):
                 continue
