--- a/coveflow/fleet.py
+++ b/coveflow/fleet.py
@@ -291,10 +291,7 @@
         idle.sort(key=lambda m: -m.flavor.rate(m.spot) / max(m.flavor.cpus, 1.0))
         returns = []
         for m in idle:
-            if (
-                now - (m.idle_since or now) < wait
-                or now - m.born < c.RETURNED_COST_S - m.flavor.boot_s
-            ):
+            if now - m.idle_since < wait or now - m.born < c.RETURNED_COST_S - m.flavor.boot_s:
                 continue
             if m.ends_at is not None:
                 continue
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -134,3 +134,23 @@
     assert run(state([victim, urgent], [m], now=5.0), guesses).stops == ["j-1"]
     victim.preempted = 5
     assert run(state([victim, urgent], [m], now=5.0), guesses).stops == []
+
+
+def test_the_papers_preemption_example():
+    """Section 4.1.3 without its placement preferences: jobs 2 and 3 come at 10, due at 35.
+
+    Four machines; the best-effort job 1 holds two of them and is half done. Waiting for it
+    until 20 would end job 3 at 40; only stopping job 1 lets both meet their deadline.
+    """
+    machines = [machine(f"m{i}", cpus=1.0) for i in (1, 2, 3, 4)]
+    first = job("j-1", 0.0, tasks=2, priority=0)
+    for m in machines[1:3]:
+        first.place(m, 0.0).since = 0.0
+    second = job("j-2", 10.0, tasks=2, deadline_s=25.0)
+    third = job("j-3", 10.0, tasks=2, deadline_s=25.0)
+    guesses = {"j-1": 20.0, "j-2": 20.0, "j-3": 20.0}
+    plan = run(state([first, second, third], machines, now=10.0), guesses)
+    assert started(plan) == {"j-2": 2} and plan.stops == ["j-1"]
+    third.spec = spec("j-3", tasks=2, deadline_s=30.0)  # due at 40, it can as well wait
+    plan = run(state([first, second, third], machines, now=10.0), guesses)
+    assert plan.stops == []
