Never lead with a part of the state; count the boot's cost when renting

Found by reading: a failed restore left a leader in force that did not know what runs. Any command that fails on the leader now makes it start again from the store.

--- a/coveflow/agents.py
+++ b/coveflow/agents.py
@@ -21,6 +21,7 @@
 
 log = logging.getLogger("coveflow.agents")
 
+ANSWER_S = 3.5  # s after which an answer to a report would not be read any more
 MAIL_PACE_S = 0.4  # s between two mails, so that a zone's reports share a write
 MAIL_WAIT_S = 2.4  # s an answer by mail is waited for; the worker gives up after 4
 MAIL_REPLY_S = 0.6  # s the leader collects answers before it replies
@@ -83,7 +84,10 @@
     async def lead(self, report: Report, patient: bool = True) -> bytes | None:
         reply: asyncio.Future[bytes | None] = asyncio.get_running_loop().create_future()
         self.owner.put(Heard(report, reply, patient))
-        return await reply
+        try:
+            return await asyncio.wait_for(reply, ANSWER_S)
+        except TimeoutError:
+            return None  # the worker has given up by now
 
     async def relayed(self, body: bytes) -> bytes | None:
         """A report that another node could not redirect."""
--- a/coveflow/fleet.py
+++ b/coveflow/fleet.py
@@ -16,6 +16,7 @@
 DRAIN_MOST = 2  # machines that drain at the same time
 DRAIN_LEFT_S = 30.0  # s a task must have left to be worth moving: a save, a fetch and a start
 DRAIN_RAN_S = 35.0  # s a task must have run; a start that is stopped earlier counts as none
+KEPT_S = 90.0  # s a rented machine is typically busy, to spread the cost of its boot over
 REFUSED_S = 15.0  # s before a type, zone and kind that was refused is asked for again
 
 
@@ -200,7 +201,9 @@
                         continue
                     if not spot and spec.spot and not lack.urgent:
                         continue
-                    rank = (flavor.rate(spot) / min(slots, max(left, 1)), flavor.boot_s)
+                    # Booting is paid for too, so a machine that is up sooner may be cheaper.
+                    paid = flavor.rate(spot) * (flavor.boot_s + KEPT_S)
+                    rank = (paid / min(slots, max(left, 1)), flavor.boot_s)
                     if best is None or rank < best[0]:
                         best = (rank, (flavor, zone, spot))
         return best[1] if best else None
--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -240,13 +240,19 @@
     def work(self, batch: list[Command]) -> None:
         """Apply a batch, then do what it made due."""
         for command in batch:
-            try:
-                self.apply(command)
-            except Exception:
-                # One bad message must not take the owner, and so the node, down.
-                log.exception("command failed: %s", type(command).__name__)
+            self._guarded(lambda command=command: self.apply(command), type(command).__name__)
         if self.leading:
-            self.advance()
+            self._guarded(self.advance, "what was due")
+
+    def _guarded(self, work: Callable[[], None], what: str) -> None:
+        """One bad message must not end the node, nor leave a leader with half-changed state."""
+        try:
+            work()
+        except Exception:
+            log.exception("%s failed", what)
+            if self.leading:
+                self.step_down("its state may be wrong")
+                self.on_effects("retake", None)
 
     def apply(self, command: Command) -> None:
         match command:
@@ -362,7 +368,6 @@
             log.info("epoch %d is over before it began", command.epoch)
             return
         self._clear_lead()
-        self.leading, self.lead_rev = command.epoch, command.rev
         self.lead_since = now = self.clock()
         runs: dict[str, tuple[Any, int]] = {}
         chunks: list[tuple[str, int, list[int], int]] = []
@@ -396,6 +401,8 @@
             job.refill()
             if job.over:
                 self.dirty_jobs[job.id] = None
+        # Last of all: with a part of its state a leader would start again what it forgot.
+        self.leading, self.lead_rev = command.epoch, command.rev
         log.info(
             "leading epoch %d: %d jobs, %d machines recorded",
             self.leading,
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -168,3 +168,27 @@
 
     with pytest.raises(Broken, match="run after clear"):
         provoke(60, tamper)
+
+
+def test_a_leader_that_cannot_read_its_records_does_not_lead():
+    """Half a state would place again what runs on machines it failed to restore."""
+    world = World(1)
+    add_jobs(world, [(6, 1.0, 0)])
+    world.run(4.0)
+    for key, (value, rev) in list(world.store.items()):
+        if key.startswith(o.MACHINE):
+            world.store[key] = ({**value, "type": "unheard-of"}, rev)
+    world.elect("b")
+    assert world.owners["b"].leading == 0
+
+
+def test_a_command_that_fails_makes_the_leader_start_again_from_the_store():
+    world = World(1)
+    add_jobs(world, [(6, 1.0, 0)])
+    world.run(2.0)
+    leader = world.owners["a"]
+    epoch = leader.leading
+    leader.work([o.CloudList([None])])
+    assert leader.leading == 0
+    world.run(60.0)
+    assert leader.leading > epoch and world.told
