--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -4,6 +4,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from coveflow import constants as c
 from coveflow import owner as o
 from tests.samples import spec
 from tests.world import Broken, World
@@ -202,3 +203,62 @@
     assert leader.leading == 0
     world.run(60.0)
     assert leader.leading > epoch and world.told
+
+
+def test_at_size_starts_and_ends_share_puts_and_passes_cost_by_classes():
+    """One put per machine for each start and end did not fit into the store's budget, and a
+    pass over every running task for every waiting job did not fit into half a core."""
+    world = World(3, machines=200)
+    world.limits["blue"] = 10_000.0
+    world.teams[0]["cpus_max"] = 0.0
+    for name in "abc":
+        world.boot(name)
+    world.elect("a")
+    add_jobs(world, [(400, 1.0, i % 5) for i in range(6)])
+    world.run(25.0)
+    world.crash("a")
+    world.at(3.0, lambda: world.elect("b"))
+    meters = [owner.meters for owner in world.owners.values() if owner is not None]
+    world.run(120.0)
+    assert set(world.told) == set(world.specs)
+    assert world.puts < 0.2 * 2 * world.starts
+    passes = sum(m.spans["full pass"][0] + m.spans["cheap pass"][0] for m in meters)
+    buckets, pools = 120, 2
+    assert passes > 10
+    assert sum(m.counts["planning steps"] for m in meters) < passes * (200 + 6 * buckets * pools)
+
+
+def tamper_reading(monkeypatch, lose) -> None:
+    """Every new leader reads its records through `lose`."""
+    honest = o.Records.load
+
+    def load(self, rows):
+        honest(self, rows)
+        lose(self)
+
+    monkeypatch.setattr(o.Records, "load", load)
+
+
+def test_the_world_notices_a_reader_that_misses_the_newest_slot(monkeypatch):
+    def lose(records):
+        newest = max((slot.seq for slot in records.slots.values()), default=0)
+        for item in [i for i, slot in records.where.items() if slot.seq == newest]:
+            del records.values[item]
+
+    tamper_reading(monkeypatch, lose)
+    with pytest.raises(Broken):
+        provoke(30, lambda world, name, owner: None)
+
+
+def test_the_world_notices_a_slot_overwritten_without_carrying_over(monkeypatch):
+    def forget(self, item, value, slot, size):
+        honest(self, item, value, slot, size)
+        slot.live.discard(item)
+
+    honest = o.Records._set
+    monkeypatch.setattr(o.Records, "_set", forget)
+    monkeypatch.setattr(c, "SLOTS_MIN", 2)
+    monkeypatch.setattr(c, "SLOTS_SPARE", 0)
+    monkeypatch.setattr(c, "SLOTS_TXN", 1)
+    with pytest.raises(Broken):
+        provoke(30, lambda world, name, owner: None)
