--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -866,7 +866,7 @@
         took = self.clock() - started
         self.meters.span("full pass" if full else "cheap pass", took)
         self.meters.add("planning steps", plan.steps)
-        self.next_pass = now + max(c.EVENT_PASS_S, 4 * took)
+        self.next_pass = now + max(c.EVENT_PASS_S, c.PASS_PART * took)
 
     def _heard_lately(self, m: Machine, now: float) -> bool:
         """Only a machine that this leader hears may be given work; its tenure is known."""
--- a/coveflow/planner.py
+++ b/coveflow/planner.py
@@ -90,7 +90,9 @@
     total: float = 0.0  # CPUs of the machines
     free: float = 0.0
     leaving: list[Room] = field(default_factory=list)  # machines with a spot notice
+    claims: dict[PoolKey, float] = field(default_factory=dict)  # first hold of jobs walked so far
     victims: dict[str, Counter[PoolKey]] | None = None  # attempts by job and pool
+    samples: dict[PoolKey, Machine] = field(default_factory=dict)
     stopping: set[PoolKey] = field(default_factory=set)  # pools where room is on its way
     steps: int = 0
 
@@ -188,24 +190,25 @@
     slot_limit: int,
     old_holds: dict[PoolKey, list[Hold]] | None = None,
 ) -> Plan:
-    """One pass. With `old_holds` it is the cheap pass: no new holds and no stops."""
+    """One pass. With `old_holds` it is the cheap pass: no new holds and no stops.
+
+    The full pass knows each pool's future. The cheap one runs at every change and must not
+    collect all guessed ends again: of the last full pass it keeps only when each job's first
+    hold in a pool starts, and later jobs that would still run then stay out of that pool.
+    """
     result = Plan()
     full = old_holds is None
     inside = guaranteed(state)
     todo = order(state, inside, tuning, guesses)
     if not todo:
         return result
-    waiting = {job.id for job in todo}
-    kept = [
-        (key, hold)
-        for key, holds in (old_holds or {}).items()
-        for hold in holds
-        if hold.end > state.now and hold.job in waiting
-    ]
-    there = survey(state, tuning, guesses, slot_limit, full or bool(kept))
-    for key, hold in kept:
-        if key in there.pools:
-            there.pools[key].hold(hold)
+    there = survey(state, tuning, guesses, slot_limit, full)
+    first: dict[str, dict[PoolKey, float]] = {}
+    for key, holds in (old_holds or {}).items():
+        for hold in holds:
+            if hold.end > state.now:
+                claims = first.setdefault(hold.job, {})
+                claims[key] = min(hold.start, claims.get(key, math.inf))
     usage = dict(state.usage)
     stopped: set[str] = set()
     for job in todo:
@@ -226,7 +229,7 @@
             result.starts.append(Start(job.id, room.machine.id, count))
             there.free -= spec.cpus * count
             pool = there.pools.get(pool_key(room.machine))
-            if pool is not None and (full or kept):
+            if pool is not None and full:
                 pool.started(spec, count, state.now + guess * room.machine.speed)
         if got:
             cpus, acc = usage.get(spec.team, (0.0, 0.0))
@@ -234,6 +237,8 @@
         left = want - got
         if not left:
             continue
+        for key, at in first.get(job.id, {}).items():
+            there.claims[key] = min(at, there.claims.get(key, math.inf))
         deadline = spec.deadline_s is not None
         waited = state.now - state.arrived[job.id]
         planned, late = math.inf, left
@@ -278,10 +283,12 @@
     for key, pool in there.pools.items():
         if not pool.rooms[0].machine.allowed(spec):
             continue
-        if any(hold.job != job.id for hold in pool.holds):
+        if state.now + guess > there.claims.get(key, math.inf):
+            continue
+        if pool.holds:
             there.steps += pool.buckets
             low, high = pool.span(state.now, state.now + guess)
-            spare[key] = min(pool.available(size_of(spec), job.id)[low:high])
+            spare[key] = min(pool.available(size_of(spec))[low:high])
             if spare[key] <= 0:
                 continue
         _options(job, pool.rooms, tight, options)
@@ -464,8 +471,7 @@
     }
     if there.victims is None:
         there.victims = _count_victims(state, there)
-    sample = {pool_key(m): m for m in state.machines}
-    usable = {key for key, m in sample.items() if m.allowed(spec)}
+    usable = {key for key, m in there.samples.items() if m.allowed(spec)}
     if there.stopping & usable:
         return []  # room is on its way from earlier stops; see what it gives first
     options = []
@@ -502,6 +508,7 @@
     counts: dict[str, Counter[PoolKey]] = {}
     for m in state.machines:
         key = pool_key(m)
+        there.samples[key] = m
         for p in m.placements.values():
             if p.stopping:
                 there.stopping.add(key)
--- a/coveflow/timeline.py
+++ b/coveflow/timeline.py
@@ -80,9 +80,8 @@
         self.rooms: list[Room] = []
         self.holds: list[Hold] = []
         self.units: dict[Size, list[int]] = {}
-        self.cpus = [0.0] * buckets  # held or started in this pass, by bucket
-        self.ram = [0.0] * buckets
-        self.acc = [0.0] * buckets
+        self.left: dict[Size, list[int]] = {}  # the same less what is held or started
+        self.held = ([0.0] * buckets, [0.0] * buckets, [0.0] * buckets)
 
     def bucket(self, at: float) -> int:
         return math.ceil((at - self.now) / c.BUCKET_S - EPS)
@@ -113,50 +112,48 @@
         self.units[size] = units
         return units
 
-    def available(self, size: Size, skip: str) -> list[int]:
-        """Tasks that fit from each bucket on, beside all holds but those of one job."""
-        cpus, ram, acc = self.cpus, self.ram, self.acc
-        own = [hold for hold in self.holds if hold.job == skip]
-        if own:
-            cpus, ram, acc = list(cpus), list(ram), list(acc)
-            for hold in own:
-                self._add(hold, -1, cpus, ram, acc)
-        units = self._units(size)
-        if not (self.holds or any(cpus)):
-            return list(units)
-        found = [
-            have - math.ceil(held / size[0] - EPS) if held > EPS else have
-            for have, held in zip(units, cpus, strict=True)
-        ] if size[0] > 0 else list(units)  # fmt: skip
-        for need, table in ((size[1], ram), (size[2], acc)):
-            if need > 0:
-                for i, held in enumerate(table):
-                    if held > EPS:
-                        found[i] = min(found[i], units[i] - math.ceil(held / need - EPS))
-        return found
+    def available(self, size: Size) -> list[int]:
+        """Tasks that fit from each bucket on, beside all that is held."""
+        known = self.left.get(size)
+        if known is None:
+            known = self.left[size] = list(self._units(size))
+            self._subtract(size, known, 0, self.buckets)
+        return known
+
+    def _subtract(self, size: Size, left: list[int], low: int, high: int) -> None:
+        units = self.units[size]
+        cpus, ram, acc = self.held
+        for i in range(low, high):
+            taken = 0
+            if size[0] > 0 and cpus[i] > EPS:
+                taken = math.ceil(cpus[i] / size[0] - EPS)
+            if size[1] > 0 and ram[i] > EPS:
+                taken = max(taken, math.ceil(ram[i] / size[1] - EPS))
+            if size[2] > 0 and acc[i] > EPS:
+                taken = max(taken, math.ceil(acc[i] / size[2] - EPS))
+            left[i] = units[i] - taken
 
     def span(self, start: float, end: float) -> tuple[int, int]:
         low = min(max(0, math.floor((start - self.now) / c.BUCKET_S + EPS)), self.buckets)
         return low, min(max(low + 1, self.bucket(end)), self.buckets)
 
-    def _add(
-        self, hold: Hold, sign: int, cpus: list[float], ram: list[float], acc: list[float]
-    ) -> None:
+    def _take(self, hold: Hold) -> None:
         low, high = self.span(hold.start, hold.end)
-        for table, amount in zip((cpus, ram, acc), hold.size, strict=True):
+        for table, amount in zip(self.held, hold.size, strict=True):
             if amount > 0:
-                change = sign * amount * hold.count
+                change = amount * hold.count
                 for i in range(low, high):
                     table[i] += change
+        for size, left in self.left.items():
+            self._subtract(size, left, low, high)
 
     def hold(self, hold: Hold) -> None:
         self.holds.append(hold)
-        self._add(hold, 1, self.cpus, self.ram, self.acc)
+        self._take(hold)
 
     def started(self, spec: Spec, count: int, end: float) -> None:
         """Tasks that start in this pass take room until their guessed end."""
-        hold = Hold(self.now, end, count, size_of(spec), "")
-        self._add(hold, 1, self.cpus, self.ram, self.acc)
+        self._take(Hold(self.now, end, count, size_of(spec), ""))
 
 
 def plan_starts(
@@ -165,8 +162,7 @@
     """The earliest starts, from the next bucket on, that leave other holds their room."""
     size = size_of(spec)
     width = max(1, math.ceil(guess / c.BUCKET_S - EPS))
-    tables = [(pool, pool.available(size, job)) for pool in pools if pool.rooms]
-    # A window never has more than its first bucket, so empty ones are passed over cheaply.
+    tables = [(pool, list(pool.available(size))) for pool in pools if pool.rooms]
     found: list[tuple[Pool, Hold]] = []
     for b in range(1, limit):
         for pool, table in tables:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -154,3 +154,20 @@
     third.spec = spec("j-3", tasks=2, deadline_s=30.0)  # due at 40, it can as well wait
     plan = run(state([first, second, third], machines, now=10.0), guesses)
     assert plan.stops == []
+
+
+def test_between_cycles_held_room_stays_free_for_the_job_that_holds_it():
+    """The cheap pass knows only when the first hold starts; who would run longer stays out."""
+    running, urgent = job("j-1", tasks=4), job("j-2", tasks=1, cpus=8.0, deadline_s=60.0)
+    m = machine("a")
+    for _ in range(4):
+        running.place(m, 0.0).since = 0.0
+    guesses = {"j-1": 20.0, "j-2": 30.0, "j-3": 10.0, "j-4": 50.0}
+    holds = run(state([running, urgent], [m], now=5.0), guesses).holds
+    short, long = job("j-3", 1.0, tasks=4), job("j-4", 1.0, tasks=4)
+    plan = run(state([running, urgent, short, long], [m], now=6.0), guesses, old_holds=holds)
+    assert started(plan) == {"j-3": 4}
+    first = job("j-0", -1.0, tasks=4, deadline_s=60.0)  # comes before the one that holds
+    plan = run(state([first, running, urgent], [m], now=6.0), guesses | {"j-0": 50.0},
+               old_holds=holds)  # fmt: skip
+    assert started(plan) == {"j-0": 4}
