--- a/coveflow/agents.py
+++ b/coveflow/agents.py
@@ -5,9 +5,9 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
 from aiohttp import web
 
 from . import constants as c
@@ -28,8 +28,7 @@
 RELAY_SPELL_S = 20.0  # s a bounced worker's reports are relayed before a redirect is tried again
 
 
-@dataclass(slots=True)
-class Posted:
+class Posted(msgspec.Struct, eq=False):
     """A report that waits for the leader's answer by mail."""
 
     report: Report
--- a/coveflow/fleet.py
+++ b/coveflow/fleet.py
@@ -4,7 +4,8 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from . import constants as c
 from .model import Flavor, Listed, Machine, Placement, Spec
@@ -22,8 +23,7 @@
 REFUSED_S = 15.0  # s before a type, zone and kind that was refused is asked for again
 
 
-@dataclass(slots=True, frozen=True)
-class Want:
+class Want(msgspec.Struct, frozen=True):
     """One rental to ask for."""
 
     flavor: str
@@ -39,16 +39,14 @@
         return f"{self.count} {self.flavor} in {self.zone}{' spot' if self.spot else ''}"
 
 
-@dataclass(slots=True)
-class Booting:
+class Booting(msgspec.Struct, eq=False):
     flavor: str
     zone: str
     spot: bool
     since: float
 
 
-@dataclass(slots=True)
-class Virtual:
+class Virtual(msgspec.Struct, eq=False):
     """Room on a machine that is booting or about to be rented."""
 
     flavor: Flavor
@@ -81,11 +79,10 @@
     return Virtual(flavor, zone, spot, flavor.cpus, flavor.ram_gb, flavor.accelerators)
 
 
-@dataclass(slots=True)
-class Fleet:
-    booting: dict[str, Booting] = field(default_factory=dict)
-    asked: dict[tuple[str, str, bool], Want] = field(default_factory=dict)
-    closed: dict[tuple[str, str, bool], float] = field(default_factory=dict)
+class Fleet(msgspec.Struct, eq=False):
+    booting: dict[str, Booting] = {}
+    asked: dict[tuple[str, str, bool], Want] = {}
+    closed: dict[tuple[str, str, bool], float] = {}
 
     def knows(self, machine: str) -> bool:
         return machine in self.booting
--- a/coveflow/model.py
+++ b/coveflow/model.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -96,8 +95,7 @@
     age_s: float
 
 
-@dataclass(slots=True)
-class Placement:
+class Placement(msgspec.Struct, eq=False):
     """One attempt of one task on one machine. It lives until its end is proven."""
 
     job: str
@@ -119,24 +117,23 @@
         return (self.job, self.task, self.number)
 
 
-@dataclass(slots=True)
-class Job:
+class Job(msgspec.Struct, eq=False):
     spec: Spec
     arrived: float  # time of day of the acceptance
     rev: int  # revision of the accepted record
     cancelled: float | None = None  # time of day of the cancellation
     floor: int = 0  # no attempt number up to this may ever be used again
-    done: set[int] = field(default_factory=set)
-    bits: dict[int, int] = field(default_factory=dict)  # the same as a bit map per chunk
+    done: set[int] = set()
+    bits: dict[int, int] = {}  # the same as a bit map per chunk
     attempts: int = 0  # on machines, until proven gone
-    free: list[int] = field(default_factory=list)  # tasks that may be placed, last first
-    placed: dict[int, Placement] = field(default_factory=dict)
+    free: list[int] = []  # tasks that may be placed, last first
+    placed: dict[int, Placement] = {}
     seen_at: float = 0.0
     run_sum: float = 0.0  # s, over the completed tasks that were never interrupted
     run_count: int = 0
     errors: int = 0
     not_before: float = 0.0
-    bad_machines: set[str] = field(default_factory=set)
+    bad_machines: set[str] = set()
     guess_s: float = 0.0
     guess_of: int = -1  # version of the histories that the guess was taken from
     preempted: int = 0
@@ -192,8 +189,7 @@
         self.done.update(low + i for i in range(bits.bit_length()) if bits >> i & 1)
 
 
-@dataclass(slots=True)
-class Machine:
+class Machine(msgspec.Struct, eq=False):
     id: str
     address: str
     flavor: Flavor
@@ -203,8 +199,8 @@
     counter: int = -1
     epoch: int = 0
     owner: str = ""
-    placements: dict[tuple[str, int, int], Placement] = field(default_factory=dict)
-    clearing: set[tuple[str, int, int]] = field(default_factory=set)  # ends not committed yet
+    placements: dict[tuple[str, int, int], Placement] = {}
+    clearing: set[tuple[str, int, int]] = set()  # ends not committed yet
     cpus: float = 0.0
     accelerators: float = 0.0
     ram_gb: float = 0.0
@@ -217,8 +213,8 @@
     returning: bool = False
     draining: bool = False  # its tasks move elsewhere, then it goes back
     suspect: bool = False
-    failed_jobs: set[str] = field(default_factory=set)
-    images: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    failed_jobs: set[str] = set()
+    images: OrderedDict[str, float] = msgspec.field(default_factory=OrderedDict)
     speed: float = 1.0
     speed_n: int = 0
 
--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -14,7 +14,6 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -56,26 +55,23 @@
 MACHINE = "m/"  # a machine and the attempts that may be on it
 
 
-@dataclass(slots=True)
-class View:
+class View(msgspec.Struct, eq=False):
     """Who may give commands; `epoch` is the workers' token."""
 
     epoch: int = 0
     leader: str = ""
-    members: list[str] = field(default_factory=list)
+    members: list[str] = []
     rev: int = 0
 
 
-@dataclass(slots=True)
-class Accepted:
+class Accepted(msgspec.Struct, eq=False):
     spec: Spec
     at: float
     rev: int
     cancelled: float | None
 
 
-@dataclass(slots=True)
-class End:
+class End(msgspec.Struct, eq=False):
     """The proven end of an attempt whose commit is pending."""
 
     placement: Placement
@@ -83,8 +79,7 @@
     at: float
 
 
-@dataclass(slots=True)
-class Held:
+class Held(msgspec.Struct, eq=False):
     """A report whose answer waits for a commit, or for new work."""
 
     report: Report
@@ -96,62 +91,52 @@
 # --- commands --------------------------------------------------------------------------
 
 
-@dataclass(slots=True)
-class Heard:
+class Heard(msgspec.Struct, eq=False):
     report: Report
     reply: asyncio.Future[bytes | None]
     patient: bool = True  # the answer may wait for new work
 
 
-@dataclass(slots=True)
-class InboxRows:
+class InboxRows(msgspec.Struct, eq=False):
     rows: list[tuple[str, Any, int]]
     listed: int | None = None  # revision of a full listing; None: these are changes
     applied: asyncio.Future[None] | None = None
 
 
-@dataclass(slots=True)
-class Lead:
+class Lead(msgspec.Struct, eq=False):
     epoch: int
     rev: int
     rows: list[tuple[str, Any, int]]
 
 
-@dataclass(slots=True)
-class Tick:
+class Tick(msgspec.Struct, eq=False):
     pass
 
 
-@dataclass(slots=True)
-class Settled:
+class Settled(msgspec.Struct, eq=False):
     txn: Txn
     rev: int | None
     conflict: list[str] | None = None
 
 
-@dataclass(slots=True)
-class CloudList:
+class CloudList(msgspec.Struct, eq=False):
     rows: list[Listed]
 
 
-@dataclass(slots=True)
-class Rented:
+class Rented(msgspec.Struct, eq=False):
     want: fleet.Want
     machines: list[str]
 
 
-@dataclass(slots=True)
-class Refused:
+class Refused(msgspec.Struct, eq=False):
     want: fleet.Want
 
 
-@dataclass(slots=True)
-class Returned:
+class Returned(msgspec.Struct, eq=False):
     machines: list[str]
 
 
-@dataclass(slots=True)
-class Prices:
+class Prices(msgspec.Struct, eq=False):
     flavors: list[Flavor]
 
 
@@ -160,17 +145,16 @@
 )
 
 
-@dataclass(slots=True)
-class Txn:
+class Txn(msgspec.Struct, eq=False):
     guards: dict[str, int]
     writes: dict[str, Any]
     draft: Draft | None = None
-    jobs: list[tuple[Job, set[int]]] = field(default_factory=list)
-    finished: list[Job] = field(default_factory=list)
-    machines: list[Machine] = field(default_factory=list)
-    removed: list[Machine] = field(default_factory=list)
-    placed: list[Placement] = field(default_factory=list)
-    ends: list[tuple[Machine, End]] = field(default_factory=list)
+    jobs: list[tuple[Job, set[int]]] = []
+    finished: list[Job] = []
+    machines: list[Machine] = []
+    removed: list[Machine] = []
+    placed: list[Placement] = []
+    ends: list[tuple[Machine, End]] = []
     history: bool = False
 
 
@@ -974,11 +958,11 @@
         waiting = self.held.pop(name, None)
         if waiting is not None and not waiting.reply.done():
             waiting.reply.set_result(None)
-        gangs = set()
+        gangs = []
         for p in list(m.placements.values()):
             job = self.jobs[p.job]
             if job.spec.kind == "gang":
-                gangs.add((job.id, p))
+                gangs.append((job.id, p))
             self._end(p, False, f"its machine was {why}")
         for job_id, p in gangs:
             self._gang_ended(self.jobs[job_id], p, False)
@@ -1015,9 +999,7 @@
         limit = self.params.state.txn_ops
         txn = Txn({VIEW: self.lead_rev}, {})
         # Half of the changes and of the bytes at least stay for jobs that end.
-        draft = txn.draft = self.records.draft(
-            max(1, min(c.SLOTS_TXN, limit // 2)), c.TXN_BYTES
-        )
+        draft = txn.draft = self.records.draft(max(1, min(c.SLOTS_TXN, limit // 2)), c.TXN_BYTES)
         whole = True
         finish: list[Job] = []
         for name in list(self.dirty_jobs):
--- a/coveflow/peers.py
+++ b/coveflow/peers.py
@@ -6,10 +6,10 @@
 import logging
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import aiohttp
+import msgspec
 from aiohttp import web
 
 from . import constants as c
@@ -22,8 +22,7 @@
 PING, RELAY = "/ping", "/relay"
 
 
-@dataclass(slots=True)
-class Peer:
+class Peer(msgspec.Struct, eq=False):
     member: Member
     client: Client
     answered: float = -1e9  # when the newest answered ping was sent
@@ -32,8 +31,8 @@
     epoch: int = 0
     leading: bool = False
     store_age: float = 1e9
-    hears: dict[str, float] = field(default_factory=dict)
-    counts: dict[str, list[int]] = field(default_factory=dict)
+    hears: dict[str, float] = {}
+    counts: dict[str, list[int]] = {}
 
 
 class Peers:
--- a/coveflow/planner.py
+++ b/coveflow/planner.py
@@ -8,7 +8,8 @@
 
 import math
 from collections import Counter
-from dataclasses import dataclass, field
+
+import msgspec
 
 from . import constants as c
 from .model import Job, Machine, Spec
@@ -21,15 +22,13 @@
 PoolKey = tuple[str, str, bool]  # type, zone, spot
 
 
-@dataclass(slots=True)
-class Start:
+class Start(msgspec.Struct, eq=False):
     job: str
     machine: str
     count: int
 
 
-@dataclass(slots=True)
-class Lack:
+class Lack(msgspec.Struct, eq=False):
     """Tasks that the machines that are up cannot start in time."""
 
     spec: Spec
@@ -38,12 +37,11 @@
     waited: float  # s since the job came
 
 
-@dataclass(slots=True)
-class Plan:
-    starts: list[Start] = field(default_factory=list)
-    holds: dict[PoolKey, list[Hold]] = field(default_factory=dict)
-    stops: list[str] = field(default_factory=list)  # jobs to stop whole
-    lacks: list[Lack] = field(default_factory=list)
+class Plan(msgspec.Struct, eq=False):
+    starts: list[Start] = []
+    holds: dict[PoolKey, list[Hold]] = {}
+    stops: list[str] = []  # jobs to stop whole
+    lacks: list[Lack] = []
     steps: int = 0  # machines and buckets looked at, for the log and the test of its bound
 
 
@@ -57,8 +55,7 @@
     return max(0.0, 1.0 - slope * late / max(spec.deadline_s, 1.0))
 
 
-@dataclass(slots=True)
-class State:
+class State(msgspec.Struct, eq=False):
     """What the planner may see. Times are all on one clock."""
 
     jobs: list[Job]
@@ -67,7 +64,7 @@
     usage: dict[str, tuple[float, float]]  # cpus and accelerators of each team's placements
     now: float
     arrived: dict[str, float]  # arrival of each job on the planner's clock
-    where: dict[str, str] = field(default_factory=dict)  # zone of every machine, heard or not
+    where: dict[str, str] = {}  # zone of every machine, heard or not
 
 
 def remaining(
@@ -82,18 +79,17 @@
     return cycle * (2.0 ** min(overrun, 12))
 
 
-@dataclass(slots=True)
-class Field:
+class Field(msgspec.Struct, eq=False):
     """All room there is, as one pass sees and fills it."""
 
     pools: dict[PoolKey, Pool]
     total: float = 0.0  # CPUs of the machines
     free: float = 0.0
-    leaving: list[Room] = field(default_factory=list)  # machines with a spot notice
-    claims: dict[PoolKey, float] = field(default_factory=dict)  # first hold of jobs walked so far
+    leaving: list[Room] = []  # machines with a spot notice
+    claims: dict[PoolKey, float] = {}  # first hold of jobs walked so far
     victims: dict[str, Counter[PoolKey]] | None = None  # attempts by job and pool
-    samples: dict[PoolKey, Machine] = field(default_factory=dict)
-    stopping: set[PoolKey] = field(default_factory=set)  # pools where room is on its way
+    samples: dict[PoolKey, Machine] = {}
+    stopping: set[PoolKey] = set()  # pools where room is on its way
     steps: int = 0
 
     @property
--- a/coveflow/records.py
+++ b/coveflow/records.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -32,21 +31,19 @@
     """The slots do not add up to a state; nobody may lead from a part of it."""
 
 
-@dataclass(slots=True)
-class Slot:
+class Slot(msgspec.Struct, eq=False):
     number: int
     seq: int  # of the transaction that wrote it
     rev: int
-    live: set[str] = field(default_factory=set)  # items whose newest copy is here
+    live: set[str] = set()  # items whose newest copy is here
 
 
-@dataclass(slots=True)
-class Content:
+class Content(msgspec.Struct, eq=False):
     """What one slot will hold."""
 
     number: int
     rev: int
-    items: dict[str, Any] = field(default_factory=dict)
+    items: dict[str, Any] = {}
     size: int = 0
 
 
--- a/coveflow/timeline.py
+++ b/coveflow/timeline.py
@@ -10,7 +10,8 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from . import constants as c
 from .model import Machine, Spec
@@ -39,8 +40,7 @@
     return (spec.cpus, spec.ram_gb, spec.accelerators)
 
 
-@dataclass(slots=True)
-class Hold:
+class Hold(msgspec.Struct, eq=False):
     """Room in a pool kept for tasks of a job from a planned start to their guessed end."""
 
     start: float
@@ -50,8 +50,7 @@
     job: str
 
 
-@dataclass(slots=True)
-class Room:
+class Room(msgspec.Struct, eq=False):
     """What a machine has free now, and what it gets back later."""
 
     machine: Machine
@@ -60,7 +59,7 @@
     accelerators: float
     slots: int
     first: Size  # free when the pass began
-    releases: list[tuple[int, float, float, float]] = field(default_factory=list)
+    releases: list[tuple[int, float, float, float]] = []
 
     def fit(self, spec: Spec) -> int:
         return max(0, min(self.slots, fit(self.cpus, self.ram_gb, self.accelerators, spec)))
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -13,7 +13,7 @@
     st.tuples(
         st.dictionaries(
             st.sampled_from([f"m/n-{i}" for i in range(40)]),
-            st.one_of(st.none(), st.text("ab\u00e9\"", max_size=60)),
+            st.one_of(st.none(), st.text('ab\u00e9"', max_size=60)),
             max_size=12,
         ),
         st.booleans(),
