--- a/coveflow/node.py
+++ b/coveflow/node.py
@@ -219,21 +219,19 @@
     # --- loops -------------------------------------------------------------------------
 
     async def _timer(self) -> None:
-        ticked, told, busy = 0.0, self.clock(), time.process_time()
+        ticked, told = 0.0, self.clock()
         while True:
             await asyncio.sleep(TIMER_S)
             now = self.clock()
             if now - told >= METERS_S:
-                used = time.process_time()
                 log.info(
-                    "%s, %.0f%% of a core, %d jobs, %d machines: %s",
+                    "%s, %d jobs, %s: %s",
                     "leading" if self.owner.leading else "following",
-                    100 * (used - busy) / (now - told),
                     len(self.owner.accepted),
-                    len(self.owner.machines),
+                    self.owner.gauge(),
                     self.owner.meters.line(now - told),
                 )
-                told, busy = now, used
+                told = now
             if now - ticked >= TICK_S:
                 ticked = now
                 self.owner.put(o.Tick())
--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -791,6 +791,19 @@
                 )
         return used
 
+    def gauge(self) -> str:
+        """The fleet at this moment, for the log."""
+        now = self.clock()
+        heard = [m for m in self.machines.values() if self._heard_lately(m, now)]
+        total = sum(m.flavor.cpus for m in heard)
+        free = sum(m.cpus for m in heard)
+        waiting = sum(len(job.free) for job in self.jobs.values() if job.cancelled is None)
+        pulling = sum(p.state != "running" for m in heard for p in m.placements.values())
+        return (
+            f"{len(heard)} of {len(self.machines)} machines heard, {total - free:g} of {total:g}"
+            f" CPUs in use, {waiting} tasks wait, {pulling} do not run yet"
+        )
+
     def _guess(self, job: Job) -> None:
         """Guessed run time per task; a job's own finished tasks tell most."""
         if job.run_count >= 3:
