--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -86,6 +86,7 @@
     reply: asyncio.Future[bytes | None]
     until: float
     for_commit: bool
+    since: float = 0.0
 
 
 # --- commands --------------------------------------------------------------------------
@@ -208,11 +209,12 @@
         self.in_flight: Txn | None = None
         self.next_commit = 0.0
         self.next_pass = 0.0
-        self.next_cycle = 0.0
+        self.next_cycle = self.next_full = 0.0
         self.last_cycle = self.last_regular = -math.inf
         self.fleet_due = False
         self.arrivals = False  # a job came since the last full cycle
         self.pass_due = False
+        self.passed_at = -math.inf
         self.last_plan = planner.Plan()
         self.predictor = Predictor(self.tuning.estimators, self.tuning.decay, self.tuning.recent)
         self.history_rev = 0
@@ -678,7 +680,7 @@
         now: float,
         patient: bool,
     ) -> None:
-        held = Held(report, reply, 0.0, news)
+        held = Held(report, reply, 0.0, news, now)
         if news:
             # The commit of these ends will often bring the next run for the same worker.
             held.until = now + c.HOLD_ANSWER_S
@@ -747,7 +749,13 @@
                     held.reply.set_result(None)
                 continue
             if held.for_commit:
-                ready = not m.clearing and machine not in self.dirty_machines
+                # With the ends goes the next run: an answer sent between the commit of an end
+                # and the next pass left the room empty until the following report.
+                ready = (
+                    not m.clearing
+                    and machine not in self.dirty_machines
+                    and self.passed_at >= held.since
+                )
             else:
                 ready = any(
                     p.committed and not p.stopping and p.sent < held.report.counter and not p.state
@@ -763,7 +771,7 @@
         now = self.clock()
         if self.arrivals and now >= self.last_cycle + c.ARRIVAL_CYCLE_S:
             self.next_cycle = now
-        if now >= self.next_cycle and now >= self.next_pass:
+        if now >= self.next_cycle and now >= max(self.next_pass, self.next_full):
             self._pass(now, full=True)
         elif self.pass_due and now >= self.next_pass:
             self._pass(now, full=False)
@@ -860,10 +868,17 @@
                 self._wake(p.machine)
         if full:
             self._fleet(now)
+        self.passed_at = now
+        self.hot.update(name for name, held in self.held.items() if held.for_commit)
         took = self.clock() - started
         self.meters.span("full pass" if full else "cheap pass", took)
         self.meters.add("planning steps", plan.steps)
-        self.next_pass = now + max(c.EVENT_PASS_S, c.PASS_PART * took)
+        if full:
+            # Cheap passes go on meanwhile: rooms that fall free wait for nothing else.
+            self.next_full = now + c.PASS_PART * took
+            self.next_pass = now + took + c.EVENT_PASS_S
+        else:
+            self.next_pass = now + max(c.EVENT_PASS_S, c.PASS_PART * took)
 
     def _heard_lately(self, m: Machine, now: float) -> bool:
         """Only a machine that this leader hears may be given work; its tenure is known."""
