--- a/coveflow/fleet.py
+++ b/coveflow/fleet.py
@@ -15,10 +15,12 @@
 
 BEST_EFFORT_S = 8.0  # s a best-effort job waits for room before a machine is rented for it
 DRAIN_USED = 0.5  # part of a machine's CPUs in use up to which moving its tasks may pay
-DRAIN_MOST = 2  # machines that drain at the same time
-DRAIN_TRIED = 16  # machines looked at in a cycle, so that its cost does not grow with the fleet
-DRAIN_LEFT_S = 30.0  # s a task must have left to be worth moving: a save, a fetch and a start
+DRAIN_PART = 0.1  # part of the machines that drain at the same time; two at the least
+DRAIN_TRIED = 64  # machines looked at in a cycle, so that its cost does not grow with the fleet
+DRAIN_LEFT_S = 20.0  # s a task must have left to be worth moving: a save, a fetch and a start
 DRAIN_RAN_S = 35.0  # s a task must have run; a start that is stopped earlier counts as none
+IDLE_SOON_S = 5.0  # s after which a machine goes back while much more room is idle
+READY_PART = 0.4  # of the CPUs in use: room beyond this is much more than a rush needs
 KEPT_S = 90.0  # s a rented machine is typically busy, to spread the cost of its boot over
 REFUSED_S = 15.0  # s before a type, zone and kind that was refused is asked for again
 
@@ -228,7 +230,8 @@
         After a rush the last long tasks kept nearly empty machines up for minutes.
         """
         moving = sum(m.draining for m in machines)
-        if lacks or moving >= DRAIN_MOST:
+        most = max(2, int(DRAIN_PART * len(machines)))
+        if lacks or moving >= most:
             return []
         homes = [
             m
@@ -266,7 +269,7 @@
         rooms.sort(key=lambda entry: entry[:2])
         chosen: list[str] = []
         for _, m, specs in candidates[:DRAIN_TRIED]:
-            if len(chosen) + moving >= DRAIN_MOST:
+            if len(chosen) + moving >= most:
                 break
             per_cpu = m.flavor.rate(m.spot) / max(m.flavor.cpus, EPS)
             others = [
@@ -299,11 +302,20 @@
                 m.idle_since = now
             idle.append(m)
         wait = tuning.idle_s
+        soon = min(wait, IDLE_SOON_S)
         # The dearest per CPU go first.
         idle.sort(key=lambda m: -m.flavor.rate(m.spot) / max(m.flavor.cpus, 1.0))
         returns = []
         for m in idle:
-            if now - m.idle_since < wait or now - m.born < c.RETURNED_COST_S - m.flavor.boot_s:
+            if m.draining:
+                # It takes no more work: waiting for some only costs.
+                free -= m.cpus
+                returns.append(m.id)
+                continue
+            ample = free - m.flavor.cpus > READY_PART * used
+            if now - m.idle_since < (soon if ample else wait):
+                continue
+            if now - m.born < c.RETURNED_COST_S - m.flavor.boot_s:
                 continue
             if m.ends_at is not None:
                 continue
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -97,3 +97,21 @@
     """A rush of thousands of tasks waited for one request of 50 machines after the other."""
     wants, _ = decide(Fleet(), lacks=[lack(2000)])
     assert len(wants) == 4 and max(want.count for want in wants) == 50
+
+
+def test_a_drained_machine_goes_back_at_once():
+    """It takes no more work, yet stood idle for 20 s after its last task had moved."""
+    m = up("n-1", draining=True)
+    assert decide(Fleet(), now=1.0, machines=[m])[1] == ["n-1"]
+
+
+def test_idle_machines_go_back_sooner_while_much_more_room_is_idle():
+    job = Job(spec(tasks=16), 0.0, 1)
+    job.refill()
+    busy, idle = up("n-1"), [up(f"n-{i}") for i in range(2, 6)]
+    for _ in range(8):
+        job.place(busy, 0.0)
+    fleet, machines = Fleet(), [busy, *idle]
+    decide(fleet, now=0.0, machines=machines)
+    assert len(decide(fleet, now=6.0, machines=machines)[1]) == 3
+    assert decide(fleet, now=21.0, machines=machines)[1] == ["n-2", "n-3", "n-4"]
