Check polls together with one comparing transaction; bound what waits

Cause: each poll for an unknown or unfinished job read one or two keys, so a flood of them would take the requests that submissions and the watch need, and submissions beyond the node's share of puts waited until they failed. Now polls that wait at the same time share a transaction without writes; past 2,000 of them, or 96 submissions, 503 is told at once.

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -37,6 +37,11 @@
 TERMINAL_CACHE = 20_000  # jobs whose final state a node remembers without asking
 REMOVED_KEPT = 2_000  # jobs whose removal is remembered against late changes of the watch
 
+# --- users -----------------------------------------------------------------------------
+SUBMIT_QUEUE = 96  # submissions that wait for their commit; more would not be written in time
+POLL_QUEUE = 2_000  # polls that wait for the store's word; more are told to come back
+POLL_PACE_S = 0.05  # s between two checks that polls share, so that they leave requests over
+
 # --- peers and reports -----------------------------------------------------------------
 PING_S = 0.5  # s between pings to each peer
 PING_TIMEOUT_S = 1.0  # s; an unanswered ping is a miss
--- a/coveflow/front.py
+++ b/coveflow/front.py
@@ -27,6 +27,13 @@
 STALE_S = 2.5  # s without store contact after which a node with luckier peers is not healthy
 
 
+class Checked(msgspec.Struct, frozen=True):
+    """The store's word on what this node knew of a job when it asked."""
+
+    same: bool
+    known: o.Accepted | None
+
+
 class Front:
     def __init__(
         self,
@@ -43,6 +50,8 @@
         self.teams = {team.name: team for team in settings.params.teams}
         self.waiting: list[tuple[str, Any, asyncio.Future[int | None]]] = []
         self.batching: asyncio.Task[None] | None = None
+        self.asked: dict[str, asyncio.Future[Checked]] = {}  # polls that share the next check
+        self.checking: asyncio.Task[None] | None = None
         self.cancels: dict[str, float] = {}  # what this process told users, for its peers
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -125,6 +134,9 @@
 
     async def accept(self, name: str, record: Any) -> bool:
         """Commit with what else is waiting; False when the job is known already."""
+        if len(self.waiting) >= c.SUBMIT_QUEUE:
+            # More than the budget can write in time: told at once, not held until it fails.
+            raise Unavailable("too many submissions")
         future: asyncio.Future[int | None] = asyncio.get_running_loop().create_future()
         self.waiting.append((name, record, future))
         if self.batching is None or self.batching.done():
@@ -178,13 +190,14 @@
         final = self.owner.terminal.get(name)
         if final is not None:
             return answer(200, wire.job_answer(name, final[0], final[1]))
+        checked = await self._checked(name)
+        if checked.same:
+            # What was compared counts, not what this node knows by now.
+            known = checked.known
+            return self._state(name, known.cancelled is not None) if known is not None else None
         value, _ = await self.store.get(o.JOB + name)
         if value is not None:
-            done, running = self._counts(name)
-            if value.get("cancel") is not None:
-                return answer(200, wire.job_answer(name, "cancelled", done))
-            state = "running" if running else "queued"
-            return answer(200, wire.job_answer(name, state, done, running))
+            return self._state(name, value.get("cancel") is not None)
         # Jobs only ever move from the one key to the other, so this order misses none.
         value, _ = await self.store.get(o.OLD + name)
         if value is None:
@@ -192,6 +205,68 @@
         self.owner.remember_terminal(name, value["status"], value["done"])
         return answer(200, wire.job_answer(name, value["status"], value["done"]))
 
+    def _state(self, name: str, cancelled: bool) -> web.StreamResponse:
+        done, running = self._counts(name)
+        if cancelled:
+            return answer(200, wire.job_answer(name, "cancelled", done))
+        state = "running" if running else "queued"
+        return answer(200, wire.job_answer(name, state, done, running))
+
+    async def _checked(self, name: str) -> Checked:
+        """Whether the store, asked from now on, knows the job just as this node does."""
+        future = self.asked.get(name)
+        if future is None:
+            if len(self.asked) >= c.POLL_QUEUE:
+                raise Unavailable("too many polls")
+            future = self.asked[name] = asyncio.get_running_loop().create_future()
+            if self.checking is None or self.checking.done():
+                self.checking = asyncio.create_task(self._check())
+        return await asyncio.shield(future)
+
+    async def _check(self) -> None:
+        """Polls share a transaction that only compares.
+
+        One or two reads each let a flood of polls for unknown jobs use up the requests that
+        submissions and the watch need.
+        """
+        limit = 2 * self.settings.params.state.txn_ops  # conditions: half of what is allowed
+        while self.asked:
+            guards: dict[str, int] = {}
+            batch: dict[str, asyncio.Future[Checked]] = {}
+            compared: dict[str, o.Accepted | None] = {}
+            for name, future in self.asked.items():
+                if len(guards) + 2 > limit and batch:
+                    break
+                known = self.owner.accepted.get(name)
+                if known is not None:
+                    guards[o.JOB + name] = known.rev
+                else:
+                    guards |= {o.JOB + name: 0, o.OLD + name: 0}
+                batch[name], compared[name] = future, known
+            for name in batch:
+                del self.asked[name]
+            try:
+                await self.store.commit(guards, {})
+                changed: set[str] = set()
+            except Conflict as conflict:
+                changed = {key.rsplit("/", 1)[1] for key in conflict.failed}
+            except Exception as error:
+                failure = error if isinstance(error, Unavailable) else Unavailable(str(error))
+                for future in batch.values():
+                    if not future.done():
+                        future.set_exception(failure)
+                        future.exception()  # its poll may be gone; nobody else must hear of it
+                continue
+            for name, future in batch.items():
+                if changed and name not in changed:
+                    # A refused transaction need not name every key; these are asked again.
+                    other = self.asked.setdefault(name, future)
+                    if other is not future:
+                        _follow(other, future)
+                elif not future.done():
+                    future.set_result(Checked(not changed, compared[name]))
+            await asyncio.sleep(c.POLL_PACE_S)
+
     def _counts(self, name: str) -> tuple[int, int]:
         if self.owner.leading:
             return self.owner.counts.get(name, (0, 0))
@@ -255,6 +330,20 @@
     return web.Response(status=status, body=body, content_type="application/cbor")
 
 
+def _follow(first: asyncio.Future[Checked], second: asyncio.Future[Checked]) -> None:
+    """The second ends as the first does."""
+
+    def copy(_: asyncio.Future[Checked]) -> None:
+        if second.done():
+            return
+        if first.exception() is not None:
+            second.set_exception(first.exception())
+        else:
+            second.set_result(first.result())
+
+    first.add_done_callback(copy)
+
+
 def _settle(future: asyncio.Future[int | None], rev: int | None) -> None:
     if not future.done():
         future.set_result(rev)
