--- a/coveflow/planner.py
+++ b/coveflow/planner.py
@@ -161,17 +161,20 @@
 
 
 def order(state: State, inside: set[str], tuning: Tuning, guesses: dict[str, float]) -> list[Job]:
-    """Guaranteed work, then deadline jobs that can still gain, then the rest; each by arrival."""
+    """Guaranteed work, then deadline jobs that can still gain, then the rest.
+
+    The first two by arrival; the rest by arrival less the guessed run time, as long ones have
+    to start earlier to be over at the same time. In arrival order alone they ended the day.
+    """
 
     def rank(job: Job) -> tuple[int, float]:
         arrived = state.arrived[job.id]
         if job.id in inside:
             return (0, arrived)
-        if job.spec.deadline_s is not None:
-            guess = guesses.get(job.id, 60.0)
-            hopeless = value(job.spec, arrived, state.now + guess, tuning.slope) <= 0
-            return (2 if hopeless else 1, arrived)
-        return (2, arrived)
+        guess = guesses.get(job.id, 60.0)
+        if value(job.spec, arrived, state.now + guess, tuning.slope) > 0:
+            return (1, arrived)  # only deadline jobs have a value
+        return (2, arrived - guess)
 
     return sorted(
         (j for j in state.jobs if j.cancelled is None and j.free and j.not_before <= state.now),
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -171,3 +171,12 @@
     plan = run(state([first, running, urgent], [m], now=6.0), guesses | {"j-0": 50.0},
                old_holds=holds)  # fmt: skip
     assert started(plan) == {"j-0": 4}
+
+
+def test_long_best_effort_jobs_come_before_shorter_ones_of_about_the_same_age():
+    """In arrival order alone the last long jobs ended minutes after everything else."""
+    short, long = job("j-1", 0.0, tasks=8), job("j-2", 20.0, tasks=8)
+    guesses = {"j-1": 30.0, "j-2": 180.0}
+    assert started(run(state([short, long], [machine("a")], now=25.0), guesses)) == {"j-2": 8}
+    long.arrived = 200.0
+    assert started(run(state([short, long], [machine("a")], now=205.0), guesses)) == {"j-1": 8}
