Learn a newer view from peers; a leader without the store tells whom it hears

Peers now pass on the view; a leader without store contact tells whom it hears; a new leader waits for machines it never heard while a node cannot be asked.

--- a/coveflow/agents.py
+++ b/coveflow/agents.py
@@ -218,4 +218,10 @@
                 del table[name]
         for name in [n for n, until in self.relay_until.items() if now > until + c.BOUNCE_S]:
             del self.relay_until[name]
-        return {name: now - at for name, at in self.kept.items()}
+        found = {name: now - at for name, at in self.kept.items()}
+        if self.owner.leading and now - self.store.contact > c.PEER_FRESH_S:
+            # Without the store it may be deposed and not know: its workers are not silent.
+            for m in self.owner.machines.values():
+                if m.counter >= 0 and now - m.heard < limit:
+                    found[m.id] = now - m.heard
+        return found
--- a/coveflow/node.py
+++ b/coveflow/node.py
@@ -61,7 +61,7 @@
             self.owner.meters,
         )
         self.membership = Membership(settings, self.store, self.owner, self.clock, self.isolated)
-        self.peers = Peers(settings, self.session, self.clock, self.info, self.relayed)
+        self.peers = Peers(settings, self.session, self.clock, self.info, self.relayed, self.viewed)
         self.agents = Agents(
             settings,
             self.owner,
@@ -82,6 +82,7 @@
         self.membership.on_contact = self.peers.on_contact
         self.owner.on_effects = self.effect
         self.owner.peer_hears = self.peers.hears
+        self.owner.peers_known = self.peers.all_fresh
         self.tasks: set[asyncio.Task[None]] = set()
         self.lead_tasks: set[asyncio.Task[None]] = set()
 
@@ -93,6 +94,8 @@
             "name": self.settings.name,
             "boot": self.peers.boot,
             "epoch": self.owner.view.epoch,
+            "view": o.view_value(self.owner.view),
+            "view_rev": self.owner.view.rev,
             "leading": bool(self.owner.leading),
             "store_age": now - self.store.contact,
             "cancels": self.front.recent_cancels(),
@@ -100,6 +103,11 @@
             "counts": self.owner.counts if self.owner.leading else {},
         }
 
+    def viewed(self, view: dict[str, Any], rev: int) -> None:
+        """A peer's view; a newer one counts as if the store had told it."""
+        if rev > self.owner.view.rev:
+            self.owner.put(o.InboxRows([(o.VIEW, view, rev)]))
+
     async def relayed(self, body: bytes) -> bytes | None:
         return await self.agents.relayed(body)
 
--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -64,6 +64,11 @@
     rev: int = 0
 
 
+def view_value(view: View) -> dict[str, Any]:
+    """The record of a view."""
+    return {"epoch": view.epoch, "leader": view.leader, "members": view.members}
+
+
 class Accepted(msgspec.Struct, eq=False):
     spec: Spec
     at: float
@@ -188,6 +193,7 @@
         self.lead_after = -math.inf  # no try to lead before this
         self.on_effects: Callable[[str, Any], None] = lambda kind, data: None
         self.peer_hears: Callable[[str, float], bool] = lambda machine, within: False
+        self.peers_known: Callable[[], bool] = lambda: True
         self._clear_lead()
 
     def _clear_lead(self) -> None:
@@ -935,13 +941,19 @@
         now = self.clock()
         workers = self.params.workers
         patience = workers.lease_s + c.SILENT_MARGIN_S
+        # A node that cannot be asked may be the old leader and still answer its workers, for
+        # as long as its knowledge of cancellations lets it. They come here after that.
+        unheard = patience
+        if not self.peers_known():
+            unheard += workers.cancel_s - workers.lease_s - c.CONTACT_MARGIN_S
         silent: list[str] = []
         for m in self.machines.values():
             if m.returning:
                 continue
             quiet = now - m.heard
             taken = m.ends_at is not None and now > m.ends_at and quiet > c.NOTICE_SILENT_S
-            if (quiet > patience or taken) and not self.peer_hears(m.id, workers.lease_s):
+            waits = patience if m.counter >= 0 else unheard
+            if (quiet > waits or taken) and not self.peer_hears(m.id, workers.lease_s):
                 silent.append(m.id)
                 continue
             # Cancelled work whose end nothing proves must be gone before the user's limit.
--- a/coveflow/peers.py
+++ b/coveflow/peers.py
@@ -43,8 +43,10 @@
         clock: Callable[[], float],
         info: Callable[[], dict[str, Any]],
         relay: Callable[[bytes], Any],
+        on_view: Callable[[dict[str, Any], int], None] = lambda view, rev: None,
     ) -> None:
         self.settings, self.clock, self.info, self.relay = settings, clock, info, relay
+        self.on_view = on_view
         self.boot = uuid.uuid4().hex
         self.peers = {
             member.name: Peer(member, Client(session, member.address))
@@ -69,6 +71,10 @@
             for name, peer in self.peers.items()
         )
 
+    def all_fresh(self) -> bool:
+        """Whether every other node answered just now."""
+        return all(self.fresh(name) for name in self.peers)
+
     def store_works(self) -> bool:
         """Whether some reachable peer had an answer from the state service just now."""
         return any(self.fresh(n) and p.store_age < c.PEER_FRESH_S for n, p in self.peers.items())
@@ -104,6 +110,9 @@
         peer.boot = data["boot"]
         peer.epoch, peer.leading = data["epoch"], data["leading"]
         peer.store_age = data["store_age"]
+        # A leader that only the store refuses never learnt that it was deposed: workers stayed
+        # with it, and the new leader gave the whole fleet back as silent.
+        self.on_view(data["view"], data["view_rev"])
         peer.hears = data["hears"]
         peer.counts = data["counts"]
         self.cancelled.update(data["cancels"])
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -7,7 +7,9 @@
 
 from coveflow import owner as o
 from coveflow.agents import Agents
+from coveflow.model import Machine
 from coveflow.peers import Peers
+from tests.samples import flavor
 from tests.world import CANCEL_S, LEASE_S, node_settings
 
 BEAT = {
@@ -74,3 +76,54 @@
     assert peers.known_at() == 50.0
     peer.boot = "two"
     assert peers.known_at() < 0
+
+
+def test_a_leader_that_only_the_store_refuses_learns_from_a_peer_that_it_is_deposed():
+    """Its workers stayed with it, and the new leader returned all of them as silent."""
+    settings = node_settings("a", [])
+    owner = o.Owner(settings, o.Tuning(), lambda: 9.0, lambda: 9.0)
+    old = o.View(3, "a", ["a", "b"], 7)
+    owner.work([o.InboxRows([(o.VIEW, o.view_value(old), 7)], listed=7), o.Lead(3, 7, [])])
+    assert owner.leading == 3
+    rows = []
+    peers = Peers(
+        settings, None, lambda: 9.0, dict, None, lambda view, rev: rows.append((view, rev))
+    )
+    peer = SimpleNamespace(answered=0.0)
+    word = {"boot": "x", "epoch": 4, "leading": True, "store_age": 0.1, "hears": {}, "counts": {},
+            "cancels": [], "view": o.view_value(o.View(4, "b", ["b"], 12)), "view_rev": 12}  # fmt: skip
+    peers._heard(peer, word, 8.9)
+    owner.work([o.InboxRows([(o.VIEW, *row)]) for row in rows])
+    assert owner.leading == 0 and (owner.view.epoch, owner.view.leader) == (4, "b")
+
+
+def test_machines_that_a_leader_without_the_store_hears_are_not_silent():
+    now = SimpleNamespace(t=50.0)
+    agents = follower(lambda mail: {}, lambda: now.t)
+    agents.store.contact = 40.0
+    agents.owner.leading = 3
+    m = Machine("n-1", "", flavor(), "north", False)
+    m.counter, m.heard = 5, 49.0
+    agents.owner.machines["n-1"] = m
+    assert agents.hears() == {"n-1": 1.0}
+
+
+def test_a_new_leader_waits_longer_for_machines_it_never_heard_while_a_node_is_out_of_reach():
+    now = SimpleNamespace(t=0.0)
+    owner = o.Owner(node_settings("b", []), o.Tuning(), lambda: now.t, lambda: now.t)
+    owner.leading = 4
+    m = owner.machines["n-1"] = Machine("n-1", "", flavor(), "north", False)
+    returned = []
+    owner.on_effects = lambda kind, data: returned.append((now.t, kind, data))
+    owner.peers_known = lambda: False
+    for t in range(1, 60):
+        now.t = float(t)
+        owner.work([o.Tick()])
+    early = LEASE_S + 2.0
+    assert not [r for r in returned if r[1] == "return" and r[0] <= early]
+    assert [r[2] for r in returned if r[1] == "return"] == [["n-1"]]
+    m.returning, returned[:], now.t = False, [], 0.0
+    owner.peers_known = lambda: True
+    now.t = early + 1.0
+    owner.work([o.Tick()])
+    assert [r[2] for r in returned if r[1] == "return"] == [["n-1"]]
