Mail reports with ends first, others of a machine every 2 s

Cause: in a partition a zone's reports are several times what the mail holds, so runs took up to 12 s to be told.

--- a/coveflow/agents.py
+++ b/coveflow/agents.py
@@ -24,6 +24,7 @@
 ANSWER_S = 3.5  # s after which an answer to a report would not be read any more
 MAIL_PACE_S = 0.4  # s between two mails, so that a zone's reports share a write
 MAIL_WAIT_S = 2.4  # s an answer by mail is waited for; the worker gives up after 4
+MAIL_EACH_S = 2.0  # s between two mailed reports of one machine that bring nothing new
 MAIL_REPLY_S = 0.6  # s the leader collects answers before it replies
 RELAY_SPELL_S = 20.0  # s a bounced worker's reports are relayed before a redirect is tried again
 
@@ -34,6 +35,7 @@
     report: Report
     data: dict[str, Any]
     future: asyncio.Future[bytes]
+    news: bool  # it reports an end
     number: int = 0  # of the mail that carries it; 0: not written yet
 
 
@@ -53,6 +55,7 @@
         self.posted: dict[str, Posted] = {}
         self.posting: asyncio.Task[None] | None = None
         self.mail_no = 0
+        self.mailed_at: dict[str, float] = {}
         self.redirected: dict[str, float] = {}
         self.relay_until: dict[str, float] = {}
         self.kept: dict[str, float] = {}  # machines this node keeps alive for the leader
@@ -120,18 +123,23 @@
                 log.debug("relay for %s: %s", machine, error)
         if self.store.contact > now - c.PEER_FRESH_S:
             # The leader may be out of reach only from here: the store still reaches it.
-            answer = await self._mailed(machine, report, body)
-            if answer is not None:
-                return web.Response(body=answer)
+            # A zone's reports do not all fit into the mail. Those that bring an end do; all
+            # waiting in turn left rooms empty for ten seconds and kept ends from being told.
+            news = any(t.state == "exited" for t in report.tasks)
+            if news or now - self.mailed_at.get(machine, -1e9) >= MAIL_EACH_S:
+                self.mailed_at[machine] = now
+                answer = await self._mailed(machine, report, body, news)
+                if answer is not None:
+                    return web.Response(body=answer)
         self.kept[machine] = now
         return web.Response(body=wire.orders_answer(self.owner.view.epoch, self._stops(report)))
 
     # --- mail through the store ----------------------------------------------------------
 
-    async def _mailed(self, machine: str, report: Report, body: bytes) -> bytes | None:
+    async def _mailed(self, machine: str, report: Report, body: bytes, news: bool) -> bytes | None:
         """Pass the report to the leader through the store; its answer, or None."""
         future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-        self.posted[machine] = post = Posted(report, wire.unpack(body), future)
+        self.posted[machine] = post = Posted(report, wire.unpack(body), future, news)
         if self.posting is None or self.posting.done():
             self.posting = asyncio.create_task(self._post())
         try:
@@ -148,9 +156,8 @@
             self.mail_no += 1
             mail: dict[str, Any] = {}
             size = 0
-            for machine, post in self.posted.items():
-                if post.number:
-                    continue
+            waiting = [entry for entry in self.posted.items() if not entry[1].number]
+            for machine, post in sorted(waiting, key=lambda entry: not entry[1].news):
                 size += len(str(post.data)) + len(machine) + 8
                 if mail and size > room:
                     break
@@ -213,7 +220,7 @@
         """Ages of the reports this node answered itself, for the leader's silence check."""
         now = self.clock()
         limit = self.settings.params.workers.lease_s
-        for table in (self.kept, self.redirected):
+        for table in (self.kept, self.redirected, self.mailed_at):
             for name in [n for n, at in table.items() if now - at > limit]:
                 del table[name]
         for name in [n for n, until in self.relay_until.items() if now > until + c.BOUNCE_S]:
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -86,12 +86,11 @@
     owner.work([o.InboxRows([(o.VIEW, o.view_value(old), 7)], listed=7), o.Lead(3, 7, [])])
     assert owner.leading == 3
     rows = []
-    peers = Peers(
-        settings, None, lambda: 9.0, dict, None, lambda view, rev: rows.append((view, rev))
-    )
+    peers = Peers(settings, None, lambda: 9.0, dict, None, lambda *row: rows.append(row))
     peer = SimpleNamespace(answered=0.0)
-    word = {"boot": "x", "epoch": 4, "leading": True, "store_age": 0.1, "hears": {}, "counts": {},
-            "cancels": [], "view": o.view_value(o.View(4, "b", ["b"], 12)), "view_rev": 12}  # fmt: skip
+    word = {"boot": "x", "epoch": 4, "leading": True, "store_age": 0.1}
+    word |= {"hears": {}, "counts": {}, "cancels": []}
+    word |= {"view": o.view_value(o.View(4, "b", ["b"], 12)), "view_rev": 12}
     peers._heard(peer, word, 8.9)
     owner.work([o.InboxRows([(o.VIEW, *row)]) for row in rows])
     assert owner.leading == 0 and (owner.view.epoch, owner.view.leader) == (4, "b")
@@ -127,3 +126,22 @@
     now.t = early + 1.0
     owner.work([o.Tick()])
     assert [r[2] for r in returned if r[1] == "return"] == [["n-1"]]
+
+
+def test_reports_without_an_end_do_not_crowd_the_mail():
+    """All reports of a cut-off zone waited in turn, and those with ends for ten seconds."""
+    now, mailed = SimpleNamespace(t=100.0), []
+
+    def answer(mail):
+        mailed.append(now.t)
+        return {"boot": mail["boot"], "answers": {"n-1": [1, 7, {"epoch": 3, "orders": []}]}}
+
+    agents = follower(answer, lambda: now.t)
+    beat(agents)
+    now.t += 0.5
+    assert beat(agents) == {"epoch": 3, "orders": []} and mailed == [100.0]
+    ended = {"piece": "j-000001/0", "try": 1, "status": "exited", "cause": "done"}
+    asyncio.run(agents.handle(cbor2.dumps(BEAT | {"pieces": [ended]})))
+    now.t += 5.0
+    beat(agents)
+    assert mailed == [100.0, 100.5, 105.5]
