--- a/coveflow/agents.py
+++ b/coveflow/agents.py
@@ -11,10 +11,10 @@
 from aiohttp import web
 
 from . import constants as c
-from . import wire
+from . import records, wire
 from .model import Order, Report
 from .net import Unavailable
-from .owner import MAIL, REPLY, VIEW, Heard, Owner
+from .owner import MAIL, REPLY, VIEW, Heard, Owner, Vouched
 from .peers import RELAY, Peers
 from .settings import Settings
 from .store import Conflict, Store
@@ -25,6 +25,7 @@
 MAIL_PACE_S = 0.4  # s between two mails, so that a zone's reports share a write
 MAIL_WAIT_S = 2.4  # s an answer by mail is waited for; the worker gives up after 4
 MAIL_EACH_S = 2.0  # s between two mailed reports of one machine that bring nothing new
+MAIL_ALIVE_S = 4.0  # s between two lists of the machines that a cut-off node keeps alive
 MAIL_REPLY_S = 0.6  # s the leader collects answers before it replies
 RELAY_SPELL_S = 20.0  # s a bounced worker's reports are relayed before a redirect is tried again
 
@@ -33,7 +34,7 @@
     """A report that waits for the leader's answer by mail."""
 
     report: Report
-    data: dict[str, Any]
+    row: list[Any]
     future: asyncio.Future[bytes]
     news: bool  # it reports an end
     number: int = 0  # of the mail that carries it; 0: not written yet
@@ -55,6 +56,7 @@
         self.posted: dict[str, Posted] = {}
         self.posting: asyncio.Task[None] | None = None
         self.mail_no = 0
+        self.vouched_at = -1e9
         self.mailed_at: dict[str, float] = {}
         self.redirected: dict[str, float] = {}
         self.relay_until: dict[str, float] = {}
@@ -128,7 +130,7 @@
             news = any(t.state == "exited" for t in report.tasks)
             if news or now - self.mailed_at.get(machine, -1e9) >= MAIL_EACH_S:
                 self.mailed_at[machine] = now
-                answer = await self._mailed(machine, report, body, news)
+                answer = await self._mailed(machine, report, news)
                 if answer is not None:
                     return web.Response(body=answer)
         self.kept[machine] = now
@@ -136,10 +138,10 @@
 
     # --- mail through the store ----------------------------------------------------------
 
-    async def _mailed(self, machine: str, report: Report, body: bytes, news: bool) -> bytes | None:
+    async def _mailed(self, machine: str, report: Report, news: bool) -> bytes | None:
         """Pass the report to the leader through the store; its answer, or None."""
         future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-        self.posted[machine] = post = Posted(report, wire.unpack(body), future, news)
+        self.posted[machine] = post = Posted(report, wire.mail_report(report), future, news)
         if self.posting is None or self.posting.done():
             self.posting = asyncio.create_task(self._post())
         try:
@@ -155,15 +157,24 @@
         while any(post.number == 0 for post in self.posted.values()):
             self.mail_no += 1
             mail: dict[str, Any] = {}
-            size = 0
+            alive: list[str] = []
+            size, now = 0, self.clock()
+            if now - self.vouched_at >= MAIL_ALIVE_S:
+                # Machines whose turn did not come for long were returned as silent.
+                self.vouched_at = now
+                alive = [name for name, at in self.kept.items() if now - at < MAIL_ALIVE_S]
+                alive = alive[: room // (2 * c.NAME_BYTES)]
+                size = len(alive) * c.NAME_BYTES
             waiting = [entry for entry in self.posted.items() if not entry[1].number]
             for machine, post in sorted(waiting, key=lambda entry: not entry[1].news):
-                size += len(str(post.data)) + len(machine) + 8
+                size += records.size_of(machine, post.row)
                 if mail and size > room:
                     break
-                mail[machine] = post.data
+                mail[machine] = post.row
                 post.number = self.mail_no
-            value = {"number": self.mail_no, "boot": self.peers.boot, "reports": mail}
+            value = {
+                "number": self.mail_no, "boot": self.peers.boot, "reports": mail, "alive": alive
+            }  # fmt: skip
             try:
                 await self.store.commit({}, {MAIL + self.settings.name: value})
             except (Unavailable, Conflict) as error:
@@ -185,17 +196,21 @@
 
     async def answer_mail(self, member: str, value: dict[str, Any]) -> None:
         """On the leader: take in mailed reports and write the answers back."""
-        reports = [wire.report_of(data) for data in value["reports"].values()]
+        self.owner.put(Vouched(value["alive"]))
+        reports = [wire.read_mail_report(name, row) for name, row in value["reports"].items()]
         tasks = [asyncio.create_task(self.lead(report, patient=False)) for report in reports]
         if not tasks:
             return
         await asyncio.wait(tasks, timeout=MAIL_REPLY_S)
-        answers = {}
+        answers: dict[str, Any] = {}
+        size, room = 0, int(self.settings.params.state.value_kb * 1024 * 0.8)
         for report, task in zip(reports, tasks, strict=True):
             if task.done() and task.result() is not None and self.may_keep_alive():
-                answers[report.machine] = [
-                    report.tenure, report.counter, wire.unpack(task.result())
-                ]  # fmt: skip
+                row = [report.tenure, report.counter, wire.unpack(task.result())]
+                size += records.size_of(report.machine, row)
+                if size > room:
+                    break  # the others are asked again by their workers' next reports
+                answers[report.machine] = row
         reply = {"boot": value["boot"], "answers": answers}
         try:
             await self.store.commit({VIEW: self.owner.lead_rev}, {REPLY + member: reply})
--- a/coveflow/model.py
+++ b/coveflow/model.py
@@ -206,6 +206,7 @@
     ram_gb: float = 0.0
     up: bool = False
     heard: float = 0.0  # when a report last came
+    vouched: float = 0.0  # when a node that cannot be asked last told that it hears it
     answered: float = 0.0
     born: float = 0.0
     idle_since: float | None = None
--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -142,12 +142,28 @@
     machines: list[str]
 
 
+class Vouched(msgspec.Struct, eq=False):
+    """Machines that a node out of this one's reach keeps alive."""
+
+    machines: list[str]
+
+
 class Prices(msgspec.Struct, eq=False):
     flavors: list[Flavor]
 
 
 Command = (
-    Heard | InboxRows | Lead | Tick | Settled | CloudList | Rented | Refused | Returned | Prices
+    Heard
+    | InboxRows
+    | Lead
+    | Tick
+    | Settled
+    | CloudList
+    | Rented
+    | Refused
+    | Returned
+    | Vouched
+    | Prices
 )
 
 
@@ -293,6 +309,10 @@
                 if self.leading:
                     for machine in command.machines:
                         self._machine_gone(machine, "returned")
+            case Vouched():
+                for machine in command.machines:
+                    if machine in self.machines:
+                        self.machines[machine].vouched = self.clock()
             case Prices():
                 for flavor in command.flavors:
                     self.flavors[flavor.name] = flavor
@@ -950,7 +970,7 @@
         for m in self.machines.values():
             if m.returning:
                 continue
-            quiet = now - m.heard
+            quiet = now - max(m.heard, m.vouched)
             taken = m.ends_at is not None and now > m.ends_at and quiet > c.NOTICE_SILENT_S
             waits = patience if m.counter >= 0 else unheard
             if (quiet > waits or taken) and not self.peer_hears(m.id, workers.lease_s):
--- a/coveflow/wire.py
+++ b/coveflow/wire.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from . import constants as c
-from .model import Flavor, Listed, Order, Report, Spec, TaskReport
+from .model import Flavor, Listed, Order, Report, Spec, TaskReport, ranges, unranges
 
 KINDS = {"array": "array", "gang": "gang", "standing": "service"}
 PRIORITIES = {"production": 3, "high": 2, "normal": 1, "low": 0}
@@ -214,9 +214,31 @@
     )
 
 
-def report_of(data: dict[str, Any]) -> Report:
-    """A report that came through the store as plain data."""
-    return read_report(pack(data))
+def mail_report(report: Report) -> list[Any]:
+    """A report as it goes through the store: tasks of one job in one state share a row."""
+    jobs: dict[str, dict[tuple[int, str, str | None, bool], list[int]]] = {}
+    for t in report.tasks:
+        rows = jobs.setdefault(t.job, {})
+        rows.setdefault((t.number, t.state, t.why, t.saved), []).append(t.task)
+    tasks = {
+        job: [[*state, ranges(numbers)] for state, numbers in rows.items()]
+        for job, rows in jobs.items()
+    }
+    return [
+        report.address, report.type, report.zone, report.spot, report.tenure, report.counter,
+        report.epoch, report.notice_s, tasks,
+    ]  # fmt: skip
+
+
+def read_mail_report(machine: str, row: list[Any]) -> Report:
+    *head, jobs = row
+    tasks = [
+        TaskReport(job, task, number, state, why, saved)
+        for job, rows in jobs.items()
+        for number, state, why, saved, flat in rows
+        for task in unranges(flat)
+    ]
+    return Report(machine, *head, tasks)
 
 
 def orders_answer(epoch: int, orders: list[Order]) -> bytes:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from coveflow import wire
-from coveflow.model import Order, ranges, unranges
+from coveflow.model import Order, Report, TaskReport, ranges, unranges
 
 GOOD = {
     "name_id": "j-000412", "workload": "train", "owner": "vision", "shape": "gang",
@@ -108,3 +108,21 @@
 def test_the_worst_progress_record_fits_the_smallest_value():
     flat = ranges(range(98_304, 99_328, 2))
     assert len(str(flat)) < 8 * 1024
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(
+    st.dictionaries(
+        st.tuples(st.sampled_from(["j-1", "j-2"]), st.integers(0, 99), st.integers(1, 3)),
+        st.sampled_from(
+            [("running", None, False), ("exited", "done", False), ("exited", "halted", True)]
+        ),
+        max_size=40,
+    )
+)  # fmt: skip
+def test_a_report_survives_the_mail(tasks):
+    rows = [TaskReport(*key, *state) for key, state in tasks.items()]
+    report = Report("n-1", "10.0.0.1:9", "m8", "north", True, 2, 7, 3, 4.5, rows)
+    told = wire.read_mail_report("n-1", cbor2.loads(cbor2.dumps(wire.mail_report(report))))
+    assert sorted(told.tasks, key=repr) == sorted(rows, key=repr)
+    assert (told.tenure, told.counter, told.epoch, told.notice_s) == (2, 7, 3, 4.5)
