--- a/coveflow/agents.py
+++ b/coveflow/agents.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import zlib
 from collections.abc import Callable
 from typing import Any
 
@@ -54,7 +53,6 @@
         self.settings, self.owner, self.peers, self.clock = settings, owner, peers, clock
         self.store_known_at = store_known_at
         self.store = store
-        self.zones = {settings.name: settings.zone} | {m.name: m.zone for m in settings.members}
         self.posted: dict[str, Posted] = {}
         self.posting: asyncio.Task[None] | None = None
         self.mail_no = 0
@@ -82,12 +80,6 @@
         if not self.may_keep_alive():
             return web.Response(status=503)
         if self.owner.leading:
-            m = self.owner.machines.get(report.machine)
-            home = self.home(report)
-            # A worker is sent away only after its lease was renewed here.
-            served = m is not None and m.counter >= 0 and now - m.answered < c.PEER_FRESH_S * 2
-            if served and home != self.settings.name and self._redirects(report.machine, home, now):
-                return web.Response(status=421, body=wire.redirect_answer(home))
             answer = await self.lead(report)
             if answer is not None:
                 return web.Response(body=answer)
@@ -115,15 +107,14 @@
         leader = self.owner.view.leader
         machine = report.machine
         peer = self.peers.get(leader)
-        leads = peer is not None and self.peers.fresh(leader) and peer.leading
-        home = self.home(report)
-        if (
-            home != self.settings.name
-            and (leads or home != leader)
-            and self._redirects(machine, home, now)
-        ):
-            return web.Response(status=421, body=wire.redirect_answer(home))
-        if leads and peer is not None:
+        if peer is not None and self.peers.fresh(leader) and peer.leading:
+            bounced = now - self.redirected.get(machine, -1e9) < c.BOUNCE_S
+            if not bounced and now >= self.relay_until.get(machine, -1e9):
+                self.redirected[machine] = now
+                return web.Response(status=421, body=wire.redirect_answer(leader))
+            # The worker was sent there and came back: it cannot reach the leader itself.
+            if bounced and now >= self.relay_until.get(machine, -1e9):
+                self.relay_until[machine] = now + RELAY_SPELL_S
             try:
                 status, answer = await peer.client.request(
                     "POST", RELAY, body=body, timeout_s=c.RELAY_TIMEOUT_S
@@ -132,9 +123,6 @@
                     return web.Response(body=answer)
             except Unavailable as error:
                 log.debug("relay for %s: %s", machine, error)
-            if self.clock() - now > c.RELAY_TIMEOUT_S / 2:
-                # No time is left for the mail: the worker would give this node up.
-                return self._keep_alive(report, now)
         if self.store.contact > now - c.PEER_FRESH_S:
             # The leader may be out of reach only from here: the store still reaches it.
             # A zone's reports do not all fit into the mail. Those that bring an end do; all
@@ -145,35 +133,7 @@
                 answer = await self._mailed(machine, report, news)
                 if answer is not None:
                     return web.Response(body=answer)
-        return self._keep_alive(report, now)
-
-    def home(self, report: Report) -> str:
-        """The node that takes in a machine's reports.
-
-        That is the leader, or in another zone than the leader's one of the live nodes there,
-        which relays them. Workers that reported across zones lost their leases in every
-        partition: two nodes that do not answer cost them 10 s.
-        """
-        leader = self.owner.view.leader
-        if self.zones.get(leader) == report.zone:
-            return leader
-        mates = [name for name in self.owner.members if self.zones.get(name) == report.zone]
-        if not mates:
-            return leader
-        return max(mates, key=lambda name: zlib.crc32(f"{name} {report.machine}".encode()))
-
-    def _redirects(self, machine: str, home: str, now: float) -> bool:
-        """Whether to send the worker there; not if it has just come back from there."""
-        if not self.peers.fresh(home) or now < self.relay_until.get(machine, -1e9):
-            return False
-        if now - self.redirected.get(machine, -1e9) < c.BOUNCE_S:
-            self.relay_until[machine] = now + RELAY_SPELL_S
-            return False
-        self.redirected[machine] = now
-        return True
-
-    def _keep_alive(self, report: Report, now: float) -> web.Response:
-        self.kept[report.machine] = now
+        self.kept[machine] = now
         return web.Response(body=wire.orders_answer(self.owner.view.epoch, self._stops(report)))
 
     # --- mail through the store ----------------------------------------------------------
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -6,7 +6,6 @@
 import cbor2
 
 from coveflow import owner as o
-from coveflow import wire
 from coveflow.agents import Agents
 from coveflow.model import Machine
 from coveflow.peers import Peers
@@ -163,29 +162,3 @@
     now.t = LEASE_S + 2.0
     owner.work([o.Tick()])
     assert returned == [["n-2"]]
-
-
-def test_workers_of_another_zone_report_to_a_live_node_of_their_own():
-    """With all of them at the leader, a partition cost a zone the leases of a sixth of its work."""
-    zones = {"a": "south", "b": "north", "c": "north", "d": "south"}
-    agents = follower(lambda mail: {})
-    agents.zones = zones
-    agents.owner.members = dict.fromkeys("abcd", 1)
-    homes = {}
-    for i in range(60):
-        report = wire.read_report(cbor2.dumps(BEAT | {"host": f"n-{i}"}))
-        homes[agents.home(report)] = homes.get(agents.home(report), 0) + 1
-    assert set(homes) == {"b", "c"} and min(homes.values()) > 15
-    report = wire.read_report(cbor2.dumps(BEAT | {"site": "south"}))
-    assert agents.home(report) == "a"  # the leader's own zone reports to the leader
-    del agents.owner.members["b"], agents.owner.members["c"]
-    assert agents.home(wire.read_report(cbor2.dumps(BEAT))) == "a"
-
-
-def test_a_worker_that_comes_back_from_its_home_is_served_where_it_is():
-    agents = follower(lambda mail: {})
-    agents.peers.fresh = lambda name: True
-    assert agents._redirects("n-1", "c", 100.0)
-    assert not agents._redirects("n-1", "c", 101.0)
-    assert not agents._redirects("n-1", "c", 110.0)
-    assert agents._redirects("n-1", "c", 140.0)
