--- a/coveflow/agents.py
+++ b/coveflow/agents.py
@@ -123,6 +123,9 @@
                     return web.Response(body=answer)
             except Unavailable as error:
                 log.debug("relay for %s: %s", machine, error)
+            if self.clock() - now > c.RELAY_TIMEOUT_S / 2:
+                # No time is left for the mail: the worker would give this node up.
+                return self._keep_alive(report, now)
         if self.store.contact > now - c.PEER_FRESH_S:
             # The leader may be out of reach only from here: the store still reaches it.
             # A zone's reports do not all fit into the mail. Those that bring an end do; all
@@ -133,7 +136,10 @@
                 answer = await self._mailed(machine, report, news)
                 if answer is not None:
                     return web.Response(body=answer)
-        self.kept[machine] = now
+        return self._keep_alive(report, now)
+
+    def _keep_alive(self, report: Report, now: float) -> web.Response:
+        self.kept[report.machine] = now
         return web.Response(body=wire.orders_answer(self.owner.view.epoch, self._stops(report)))
 
     # --- mail through the store ----------------------------------------------------------
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -4,10 +4,12 @@
 from types import SimpleNamespace
 
 import cbor2
+import pytest
 
 from coveflow import owner as o
 from coveflow.agents import Agents
 from coveflow.model import Machine
+from coveflow.net import Unavailable
 from coveflow.peers import Peers
 from tests.samples import flavor
 from tests.world import CANCEL_S, LEASE_S, node_settings
@@ -162,3 +164,21 @@
     now.t = LEASE_S + 2.0
     owner.work([o.Tick()])
     assert returned == [["n-2"]]
+
+
+def test_a_relay_that_hung_leaves_time_to_answer_the_worker():
+    """Relay and mail one after the other took longer than the worker waits."""
+    now = SimpleNamespace(t=100.0)
+    agents = follower(lambda mail: pytest.fail("no time is left"), lambda: now.t)
+
+    class Hanging:
+        async def request(self, *args, timeout_s, **kwargs):
+            now.t += timeout_s
+            raise Unavailable("hung")
+
+    peer = agents.peers.peers["a"] = SimpleNamespace(
+        client=Hanging(), leading=True, answered=99.9, boot="x", trusted_boot="x"
+    )
+    agents.redirected["n-1"] = 99.0  # it has just come back from the leader
+    assert beat(agents) == {"epoch": 3, "orders": []} and peer.leading
+    assert now.t < 104.0
