--- a/coveflow/settings.py
+++ b/coveflow/settings.py
@@ -102,7 +102,7 @@
     slope: Positive = 10.0
     stop_ratio: Positive = 1000.0
     stop_margin: NotNegative = 0.05
-    stop_growth: Annotated[float, msgspec.Meta(ge=1)] = 16.0
+    stop_growth: Annotated[float, msgspec.Meta(ge=1)] = 4.0
     estimators: tuple[str, ...] = ("average", "median", "decay", "recent")
     decay: Share = 0.5
     recent: Annotated[int, msgspec.Meta(ge=1, le=200)] = 20
