--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from . import constants as c
-from . import fleet, planner, wire
+from . import fleet, planner, scene, wire
 from .estimates import Predictor
 from .meters import Meters
 from .model import (
@@ -192,6 +192,7 @@
         self.clock, self.wall = clock, wall
         self.params = settings.params
         self.teams = {team.name: team for team in self.params.teams}
+        self.goals = scene.goals_of(self.params.objectives)
         self.queue: asyncio.Queue[Command] = asyncio.Queue()
         self.meters = Meters()
         # Inbox, on every node.
@@ -214,6 +215,7 @@
 
     def _clear_lead(self) -> None:
         self.jobs: dict[str, Job] = {}
+        self.uses: OrderedDict[scene.Use, None] = OrderedDict()  # of accelerators, by recent jobs
         self.machines: dict[str, Machine] = {}
         self.unsettled: dict[str, int] = {}
         self.ends: dict[str, list[End]] = {}
@@ -487,6 +489,12 @@
             job.refill()
             self.jobs[job.id] = job
             self.arrivals = True
+            use = scene.use_of(job.spec)
+            if use is not None:
+                self.uses[use] = None
+                self.uses.move_to_end(use)
+                if len(self.uses) > c.USES_KEPT:
+                    self.uses.popitem(last=False)
             log.info(
                 "job %s: %d tasks of %s (%g CPUs each%s) for %s",
                 job.id,
@@ -858,7 +866,7 @@
                 self._grow_overruns(now)
             self.next_cycle = now + self.tuning.cycle_s
             self.last_cycle, self.arrivals = now, False
-        state = planner.State(
+        state = scene.State(
             jobs=list(self.jobs.values()),
             machines=[m for m in self.machines.values() if self._heard_lately(m, now)],
             teams=self.teams,
@@ -866,6 +874,8 @@
             now=now,
             where={m.id: m.zone for m in self.machines.values()},
             arrived={job.id: now - max(0.0, wall - job.arrived) for job in self.jobs.values()},
+            goals=self.goals,
+            uses=frozenset(self.uses),
         )
         guesses = {job.id: job.guess_s for job in self.jobs.values()}
         plan = planner.plan(
@@ -936,7 +946,7 @@
             now,
             list(self.machines.values()),
             self.last_plan.lacks,
-            lambda p: planner.remaining(
+            lambda p: scene.remaining(
                 p.since, self.jobs[p.job].guess_s, now, p.overrun, self.tuning.cycle_s
             ),
             lambda name: self.jobs[name].spec,
--- /dev/null
+++ b/coveflow/placing.py
@@ -0,0 +1,211 @@
+"""Which machines a job's tasks take now, and where the rest starts later."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from .model import Job, Spec
+from .scene import Field, PoolKey, State, pool_key
+from .settings import Tuning
+from .timeline import EPS, Hold, Pool, Room, plan_gang, plan_starts, size_of
+
+SLACK = 0.8  # part of a guess that a planned end must keep before the deadline
+DELAY_STEP_S = 3.0  # s of fetching or slowness that count as no difference
+
+Option = tuple[tuple, str, int, Room]  # preference, machine, tasks that fit, its room
+
+
+def start_now(
+    job: Job, want: int, there: Field, state: State, guess: float
+) -> list[tuple[Room, int]]:
+    """Choose machines for up to `want` tasks and take their room; a gang gets all or none."""
+    spec = job.spec
+    options: list[Option] = []
+    tight = there.tight
+    spare: dict[PoolKey, int] = {}  # what the holds of other jobs leave to this one
+    for key, pool in there.pools.items():
+        if not pool.rooms[0].machine.allowed(spec):
+            continue
+        if state.now + guess > there.claims.get((key, spec.accelerators > 0), math.inf):
+            continue
+        if pool.holds:
+            there.steps += pool.buckets
+            low, high = pool.span(state.now, state.now + guess)
+            spare[key] = min(pool.available(size_of(spec))[low:high])
+            if spare[key] <= 0:
+                continue
+        _options(job, pool.rooms, tight, guess, options)
+    leaving = [
+        room
+        for room in there.leaving
+        # A machine with a spot notice takes only what it can still finish.
+        if room.machine.allowed(spec)
+        and state.now + guess * room.machine.speed < (room.machine.ends_at or 0.0)
+    ]
+    _options(job, leaving, tight, guess, options)
+    there.steps += len(options)
+    options.sort(key=lambda option: option[:2])
+    zones = _zones(job, state)
+    if spec.kind == "gang":
+        chosen = _gang(options, want, spec, spare)
+    else:
+        if spec.one_zone:
+            options = _one_zone(options, zones, want, spec)
+        chosen = _fill(options, want, spec, spare, zones)
+    for room, count in chosen:
+        room.take(spec, count)
+    return chosen
+
+
+def _fill(
+    options: Iterable[Option], want: int, spec: Spec, spare: dict[PoolKey, int],
+    zones: dict[str, int],
+) -> list[tuple[Room, int]]:  # fmt: skip
+    """The first options that give `want` tasks room, within what holds and zones allow."""
+    spare, zones = dict(spare), dict(zones)
+    cap = (spec.tasks + 1) // 2
+    chosen = []
+    for _, _, count, room in options:
+        if want <= 0:
+            break
+        count = min(count, want)
+        key = pool_key(room.machine)
+        if key in spare and room.machine.ends_at is None:
+            count = min(count, spare[key])
+        if spec.spread:
+            count = min(count, cap - zones.get(room.machine.zone, 0))
+        if count <= 0:
+            continue
+        if key in spare:
+            spare[key] -= count
+        if spec.spread:
+            zones[room.machine.zone] = zones.get(room.machine.zone, 0) + count
+        want -= count
+        chosen.append((room, count))
+    return chosen
+
+
+def _gang(
+    options: list[Option], want: int, spec: Spec, spare: dict[PoolKey, int]
+) -> list[tuple[Room, int]]:
+    """Machines for a whole gang, chosen as a set: it waits for the slowest of them."""
+    groups: dict[str, list[Option]] = {}
+    for option in options:
+        groups.setdefault(option[3].machine.zone if spec.one_zone else "", []).append(option)
+    best: tuple[tuple, list[tuple[Room, int]]] | None = None
+    for zone, group in sorted(groups.items()):
+        chosen = _fill(group, want, spec, spare, {})
+        if sum(count for _, count in chosen) < want:
+            continue
+        cold = [spec.image not in room.machine.images for room, _ in chosen]
+        speed = max(room.machine.speed for room, _ in chosen)
+        rank = (any(cold), sum(cold), round(speed, 1), zone)
+        if best is None or rank < best[0]:
+            best = (rank, chosen)
+    return best[1] if best is not None else []
+
+
+def _options(
+    job: Job, rooms: list[Room], tight: bool, guess: float, options: list[Option]
+) -> None:
+    spec = job.spec
+    cpus = spec.cpus - EPS
+    for room in rooms:
+        if room.cpus < cpus:
+            continue
+        count = room.fit(spec)
+        if count > 0 and room.machine.id not in job.bad_machines:
+            options.append((_preference(room, spec, tight, guess), room.machine.id, count, room))
+
+
+def _preference(room: Room, spec: Spec, tight: bool, guess: float) -> tuple:
+    """Which machine a task takes first.
+
+    While the fleet is full, work that would lose everything keeps off machines the cloud may
+    take back. With room to spare, work gathers on cheap, well-filled machines, so that the
+    dear ones run empty and can be returned.
+    """
+    m = room.machine
+    slow = round(max(0.0, m.speed - 1.0), 1)
+    fetch = spec.image not in m.images
+    exposed = m.spot if spec.checkpoint_s <= 0 else not m.spot
+    if spec.accelerators > 0:
+        # The sooner it ends there the better; halves gather, so that whole machines stay free.
+        delay = (spec.image_gb / m.flavor.fetch_gb_per_s if fetch else 0.0) + slow * guess
+        return (round(delay / DELAY_STEP_S), exposed, room.accelerators, room.cpus)
+    if tight:
+        return (slow, fetch, exposed, room.cpus)
+    return (slow, fetch, not m.placements, not m.spot, room.cpus)
+
+
+def _zones(job: Job, state: State) -> dict[str, int]:
+    """Where the job's tasks are or may be, by zone."""
+    if not (job.spec.one_zone or job.spec.spread):
+        return {}
+    # Silent machines count too: a job bound to one zone was once started in another while
+    # its tasks sat on machines that could not be heard.
+    where = state.where
+    counts: dict[str, int] = {}
+    for p in job.placed.values():
+        zone = where.get(p.machine)
+        if zone is not None:
+            counts[zone] = counts.get(zone, 0) + 1
+    return counts
+
+
+def _one_zone(options: list, zones: dict[str, int], want: int, spec: Spec) -> list:
+    """Options of the zone the job is bound to, or of the zone that fits most of it."""
+    if zones:
+        return [o for o in options if o[3].machine.zone in zones] if len(zones) == 1 else []
+    totals: dict[str, int] = {}
+    for option in options:
+        zone = option[3].machine.zone
+        totals[zone] = totals.get(zone, 0) + option[2]
+    if not totals:
+        return []
+    best = max(totals, key=lambda zone: (min(totals[zone], want), zone))
+    return [o for o in options if o[3].machine.zone == best]
+
+
+def hold(
+    job: Job, left: int, there: Field, state: State, guess: float, due: float, tuning: Tuning
+) -> tuple[float, int]:
+    """Plan the earliest starts of the rest and hold their room.
+
+    Returns the last planned start, and how many tasks are planned to start after `due` or not
+    at all.
+    """
+    spec = job.spec
+    pools = [p for p in there.pools.values() if p.rooms[0].machine.allowed(spec)]
+    buckets = max((pool.buckets for pool in pools), default=0)
+    there.steps += buckets * len(pools)
+    planned, late = state.now, 0
+    if spec.kind == "gang":
+        found = _hold_gang(spec, pools, guess, job.id, buckets)
+    else:
+        found = plan_starts(pools, spec, left, guess, job.id, buckets)
+    for pool, held in found:
+        pool.hold(held)
+        left -= held.count
+        planned = held.start
+        if held.start > due:
+            late += held.count
+    return (math.inf, late + left) if left else (planned, late)
+
+
+def _hold_gang(
+    spec: Spec, pools: list[Pool], guess: float, name: str, buckets: int
+) -> list[tuple[Pool, Hold]]:
+    """Room for a whole gang at one time, in one zone where it asks for that.
+
+    Held task by task, gangs once kept each other out of pieces of every zone: a hundred of
+    them waited beside a fleet that was half idle.
+    """
+    if not spec.one_zone:
+        return plan_gang(pools, spec, guess, name, buckets)
+    zones: dict[str, list[Pool]] = {}
+    for pool in pools:
+        zones.setdefault(pool.rooms[0].machine.zone, []).append(pool)
+    plans = [plan_gang(of_zone, spec, guess, name, buckets) for of_zone in zones.values()]
+    return min((p for p in plans if p), key=lambda plan: plan[0][1].start, default=[])
--- /dev/null
+++ b/coveflow/scene.py
@@ -0,0 +1,231 @@
+"""What one planning pass sees: jobs, machines and teams, and all room there is.
+
+Accelerators are scarcer than the CPUs beside them. Work that uses none therefore takes, on a
+machine that has some, only what its free accelerators do not need (the *reserve*).
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from typing import NamedTuple
+
+import msgspec
+
+from . import constants as c
+from .model import Flavor, Job, Machine, Spec
+from .settings import Objective, Team, Tuning
+from .timeline import EPS, Pool, Room
+
+TIGHT = 0.25  # free part of the fleet's CPUs below which it counts as full
+
+PoolKey = tuple[str, str, bool]  # type, zone, spot
+
+
+class Goal(NamedTuple):
+    """An aim of the operators on every job of a class, in s from its arrival."""
+
+    within_s: float
+    ends: bool  # by then it should be done, not just started
+
+
+class Use(NamedTuple):
+    """What one accelerator's work takes beside it."""
+
+    cpus: float
+    ram_gb: float
+
+
+def goals_of(objectives: list[Objective]) -> dict[str, tuple[Goal, ...]]:
+    """Goals of the classes whose jobs are to start within some time.
+
+    Classes that are only to end within some time stay best effort, as they always were.
+    """
+    found: dict[str, list[Goal]] = {}
+    for aim in objectives:
+        if aim.workload and aim.within_s is not None and aim.kind in ("wait", "finished"):
+            found.setdefault(aim.workload, []).append(Goal(aim.within_s, aim.kind == "finished"))
+    return {
+        name: tuple(goals)
+        for name, goals in found.items()
+        if any(not goal.ends for goal in goals)
+    }
+
+
+class State(msgspec.Struct, eq=False):
+    """What the planner may see. Times are all on one clock."""
+
+    jobs: list[Job]
+    machines: list[Machine]
+    teams: dict[str, Team]
+    usage: dict[str, tuple[float, float]]  # cpus and accelerators of each team's placements
+    now: float
+    arrived: dict[str, float]  # arrival of each job on the planner's clock
+    where: dict[str, str] = {}  # zone of every machine, heard or not
+    goals: dict[str, tuple[Goal, ...]] = {}  # by class, for classes that are to start in time
+    uses: frozenset[Use] = frozenset()  # of accelerators, by recent jobs
+
+
+def remaining(
+    placement_since: float | None, guess: float, now: float, overrun: int, cycle: float
+) -> float:
+    """Guessed time until an attempt ends; an overrun grows by 2^t cycles."""
+    if placement_since is None:
+        return guess
+    left = placement_since + guess - now
+    if left > 0:
+        return left
+    return cycle * (2.0 ** min(overrun, 12))
+
+
+class Field(msgspec.Struct, eq=False):
+    """All room there is, as one pass sees and fills it."""
+
+    pools: dict[PoolKey, Pool]
+    total: float = 0.0  # CPUs of the machines
+    free: float = 0.0
+    leaving: list[Room] = []  # machines with a spot notice
+    claims: dict[tuple[PoolKey, bool], float] = {}  # first hold of jobs walked so far
+    victims: dict[str, Counter[PoolKey]] | None = None  # attempts by job and pool
+    samples: dict[PoolKey, Machine] = {}
+    stopping: set[PoolKey] = set()  # pools where room is on its way
+    steps: int = 0
+
+    @property
+    def tight(self) -> bool:
+        return self.free < TIGHT * self.total
+
+
+def pool_key(machine: Machine) -> PoolKey:
+    return (machine.flavor.name, machine.zone, machine.spot)
+
+
+def use_of(spec: Spec) -> Use | None:
+    """What the job takes beside each accelerator; None if it uses none."""
+    if spec.accelerators <= 0:
+        return None
+    return Use(spec.cpus / spec.accelerators, spec.ram_gb / spec.accelerators)
+
+
+def reserve_of(flavor: Flavor, uses: frozenset[Use]) -> Use:
+    """What a free accelerator of this type keeps beside it: the most that all could have."""
+    fitting = [
+        use
+        for use in uses
+        if use.cpus * flavor.accelerators <= flavor.cpus + EPS
+        and use.ram_gb * flavor.accelerators <= flavor.ram_gb + EPS
+    ]
+    if flavor.accelerators <= 0 or not fitting:
+        return Use(0.0, 0.0)
+    return Use(max(use.cpus for use in fitting), max(use.ram_gb for use in fitting))
+
+
+def survey(
+    state: State, tuning: Tuning, guesses: dict[str, float], slot_limit: int, future: bool
+) -> Field:
+    """Pools and rooms of the machines; with their releases where a future is needed."""
+    buckets = max(2, math.ceil(tuning.horizon_s / c.BUCKET_S))
+    found = Field({})
+    jobs = {job.id: job for job in state.jobs} if future else {}
+    now, cycle = state.now, tuning.cycle_s
+    reserves: dict[str, Use] = {}
+    for m in state.machines:
+        if not m.up or m.returning or m.draining or m.suspect:
+            continue
+        reserve = reserves.get(m.flavor.name)
+        if reserve is None:
+            reserve = reserves[m.flavor.name] = reserve_of(m.flavor, state.uses)
+        size = (m.cpus, m.ram_gb, m.accelerators)
+        room = Room(m, *size, slot_limit - len(m.placements), size, reserve)
+        found.total += m.flavor.cpus
+        found.free += m.cpus
+        if m.ends_at is not None:
+            found.leaving.append(room)
+            continue
+        key = pool_key(m)
+        pool = found.pools.get(key)
+        if pool is None:
+            pool = found.pools[key] = Pool(now, buckets, reserve)
+        pool.rooms.append(room)
+        if not future:
+            continue
+        found.steps += 1
+        for p in m.placements.values():
+            job = jobs.get(p.job)
+            if job is None:
+                continue
+            spec = job.spec
+            left = (
+                spec.save_s
+                if p.stopping
+                else remaining(p.since, guesses.get(p.job, 60.0) * m.speed, now, p.overrun, cycle)
+            )
+            bucket = math.ceil(left / c.BUCKET_S - EPS)
+            room.releases.append((bucket, spec.cpus, spec.ram_gb, spec.accelerators))
+        room.releases.sort()
+    return found
+
+
+def guaranteed(state: State) -> set[str]:
+    """Jobs that fit their team's guarantee together with the team's earlier unfinished jobs.
+
+    A guarantee of 0 means that this resource has none, so it bounds nothing: a team guaranteed
+    accelerators only once had no guaranteed job at all, for the CPUs beside them. A job that
+    uses nothing of what is guaranteed is not within it.
+    """
+    used: dict[str, tuple[float, float]] = {}
+    inside: set[str] = set()
+    for job in sorted(state.jobs, key=lambda j: state.arrived[j.id]):
+        spec = job.spec
+        team = state.teams.get(spec.team)
+        if team is None or job.cancelled is not None:
+            continue
+        cpus, acc = used.get(team.name, (0.0, 0.0))
+        cpus += spec.cpus * spec.tasks
+        acc += spec.accelerators * spec.tasks
+        used[team.name] = (cpus, acc)
+        of_cpus = team.cpus > 0 and spec.cpus > 0
+        of_acc = team.accelerators > 0 and spec.accelerators > 0
+        if (
+            (of_cpus or of_acc)
+            and (not of_cpus or cpus <= team.cpus + EPS)
+            and (not of_acc or acc <= team.accelerators + EPS)
+        ):
+            inside.add(job.id)
+    return inside
+
+
+def value(spec: Spec, arrived: float, end: float, slope: float) -> float:
+    """A deadline job's worth by its guessed end: 1 until the deadline, then falling to 0."""
+    if spec.deadline_s is None:
+        return 0.0
+    return _kept(end - arrived, spec.deadline_s, slope)
+
+
+def worth(job: Job, state: State, start: float, guess: float, slope: float) -> float:
+    """What a start at this time is worth: the deadline's value, or the goals' on average.
+
+    A goal decays past its time just as a deadline does (ours): a class that is to start within
+    some seconds has no other value that a plan could weigh.
+    """
+    arrived = state.arrived[job.id]
+    goals = state.goals.get(job.spec.workload, ())
+    if job.spec.deadline_s is not None or not goals:
+        return value(job.spec, arrived, start + guess, slope)
+    spent = start - arrived
+    kept = [_kept(spent + guess if g.ends else spent, g.within_s, slope) for g in goals]
+    return sum(kept) / len(kept)
+
+
+def start_due(job: Job, state: State) -> float:
+    """When the job should start by the first goal of its class; infinite without one."""
+    goals = state.goals.get(job.spec.workload, ())
+    first = min((g.within_s for g in goals if not g.ends), default=math.inf)
+    return state.arrived[job.id] + first
+
+
+def _kept(spent: float, within: float, slope: float) -> float:
+    late = spent - within
+    if late <= 0:
+        return 1.0
+    return max(0.0, 1.0 - slope * late / max(within, 1.0))
--- /dev/null
+++ b/coveflow/stopping.py
@@ -0,0 +1,200 @@
+"""Which running jobs are worth stopping so that a waiting one starts now."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from .model import Job, Spec
+from .scene import Field, PoolKey, State, pool_key, worth
+from .settings import Tuning
+from .timeline import EPS, fit, size_of, usable
+
+Size = tuple[float, float, float]
+
+
+def stop_cost(job: Job, tuning: Tuning, now: float, arrived: float, guess: float) -> float:
+    """What it costs to stop all of a job's tasks, in best-effort tasks.
+
+    Each earlier stop multiplies it: a job that is stopped at every arrival of more urgent
+    work makes no progress at all, and the room it keeps refilling is fetched and saved for
+    nothing.
+    """
+    count = len(job.placed) * tuning.stop_growth**job.preempted
+    if job.spec.kind == "service":
+        return count * tuning.stop_ratio
+    if job.spec.deadline_s is None:
+        return count
+    # A run that ends near or past its deadline has less to lose.
+    slack = arrived + job.spec.deadline_s - now
+    return count * tuning.stop_ratio * max(0.0, min(1.0, slack / max(job.spec.deadline_s, 1.0)))
+
+
+def may_stop(
+    victim: Job, job: Job, job_inside: bool, victim_inside: bool, over: dict[str, bool]
+) -> bool:
+    """The protocol's limits: lower priority, or to give a team its guarantee."""
+    if victim.spec.priority < job.spec.priority:
+        return not victim_inside or victim.spec.team == job.spec.team
+    return (
+        job_inside
+        and not victim_inside
+        and victim.spec.team != job.spec.team
+        and over.get(victim.spec.team, False)
+    )
+
+
+def _over(spec: Spec, state: State) -> dict[str, bool]:
+    """Teams that use more than their guarantee of what the waiting job's room hangs on."""
+    over = {}
+    for name, (cpus, acc) in state.usage.items():
+        team = state.teams.get(name)
+        if team is not None:
+            over[name] = (
+                acc > team.accelerators + EPS if spec.accelerators > 0 else cpus > team.cpus + EPS
+            )
+    return over
+
+
+def stops(
+    job: Job,
+    left: int,
+    planned: float,
+    state: State,
+    tuning: Tuning,
+    guesses: dict[str, float],
+    inside: set[str],
+    stopped: set[str],
+    there: Field,
+) -> list[str]:
+    """Whole jobs worth stopping so that the rest of this job starts now instead of later."""
+    spec = job.spec
+    guess = guesses.get(job.id, 60.0)
+    is_inside = job.id in inside
+    # A gain is what an earlier start is worth: deadline or goal value, or a guarantee kept.
+    gain = worth(job, state, state.now, guess, tuning.slope) - worth(
+        job, state, planned, guess, tuning.slope
+    )
+    if is_inside and planned > state.now + tuning.cycle_s:
+        gain = max(gain, 1.0)
+    if gain <= 0:
+        return []
+    over = _over(spec, state)
+    if there.victims is None:
+        there.victims = _count_victims(state, there)
+    usable_pools = {key for key, m in there.samples.items() if m.allowed(spec)}
+    if there.stopping & usable_pools:
+        return []  # room is on its way from earlier stops; see what it gives first
+    options = []
+    for victim in state.jobs:
+        if victim.id == job.id or victim.id in stopped or not victim.placed:
+            continue
+        if not may_stop(victim, job, is_inside, victim.id in inside, over):
+            continue
+        freed = sum(
+            count for key, count in there.victims.get(victim.id, {}).items() if key in usable_pools
+        )
+        freed_tasks = _freed(victim.spec, freed, spec)
+        if not freed_tasks:
+            continue
+        cost = stop_cost(
+            victim, tuning, state.now, state.arrived[victim.id], guesses.get(victim.id, 60.0)
+        )
+        options.append((cost / freed_tasks, cost, freed_tasks, victim.id))
+    options.sort()
+    if spec.kind == "gang":
+        return _for_gang(spec, gain, options, state, tuning, there)
+    chosen: list[str] = []
+    need = left
+    for _, cost, freed_tasks, victim_id in options:
+        if need <= 0:
+            break
+        value = gain * min(need, freed_tasks) * tuning.stop_ratio
+        if value <= cost * (1.0 + tuning.stop_margin):
+            continue
+        chosen.append(victim_id)
+        need -= freed_tasks
+    return chosen
+
+
+def _freed(victim: Spec, count: int, spec: Spec) -> int:
+    """Tasks of the waiting job that this many of the victim's make room for, at the most.
+
+    In the resource that binds: by CPUs alone a stop once seemed to free accelerators that the
+    victim never had. A stop of smaller tasks may free room that others share, so at least one.
+    """
+    room = fit(victim.cpus * count, victim.ram_gb * count, victim.accelerators * count, spec)
+    if room == 0 and spec.kind == "gang" and count and (
+        victim.accelerators > 0 or spec.accelerators <= 0
+    ):  # fmt: skip
+        return 1
+    return room
+
+
+def _for_gang(
+    spec: Spec,
+    gain: float,
+    options: list[tuple[float, float, int, str]],
+    state: State,
+    tuning: Tuning,
+    there: Field,
+) -> list[str]:
+    """The cheapest stops that make room for the whole gang, in one zone where it asks for that.
+
+    A stop that leaves a gang short of a single place is pure loss.
+    """
+    jobs = {job.id: job for job in state.jobs}
+    groups: dict[str, list[PoolKey]] = {}
+    for key, pool in there.pools.items():
+        if pool.rooms[0].machine.allowed(spec):
+            groups.setdefault(key[1] if spec.one_zone else "", []).append(key)
+    best: tuple[float, list[str]] | None = None
+    for keys in groups.values():
+        rooms = {room.machine.id: room for key in keys for room in there.pools[key].rooms}
+        free: dict[str, Size] = {
+            name: (room.cpus, room.ram_gb, room.accelerators) for name, room in rooms.items()
+        }
+        fits = {name: room.fit(spec) for name, room in rooms.items()}
+        have = sum(fits.values())
+        if have >= spec.tasks:
+            continue  # it is held for others, who come first
+        spent, chosen = 0.0, []
+        for _, cost, _, victim_id in options:
+            victim = jobs[victim_id]
+            before = have
+            for machine, count in Counter(p.machine for p in victim.placed.values()).items():
+                if machine not in free:
+                    continue
+                cpus, ram, acc = free[machine]
+                free[machine] = room = (
+                    cpus + victim.spec.cpus * count,
+                    ram + victim.spec.ram_gb * count,
+                    acc + victim.spec.accelerators * count,
+                )
+                now_fits = usable(*room, size_of(spec), rooms[machine].reserve)
+                have += now_fits - fits[machine]
+                fits[machine] = now_fits
+            if have > before:
+                spent += cost
+                chosen.append(victim_id)
+            if have >= spec.tasks:
+                break
+        if have >= spec.tasks and (best is None or spent < best[0]):
+            best = (spent, chosen)
+    if best is None or gain * spec.tasks * tuning.stop_ratio <= best[0] * (1 + tuning.stop_margin):
+        return []
+    return best[1]
+
+
+def _count_victims(state: State, there: Field) -> dict[str, Counter[PoolKey]]:
+    counts: dict[str, Counter[PoolKey]] = {}
+    for m in state.machines:
+        key = pool_key(m)
+        there.samples[key] = m
+        for p in m.placements.values():
+            if p.stopping:
+                there.stopping.add(key)
+            found = counts.get(p.job)
+            if found is None:
+                found = counts[p.job] = Counter()
+            found[key] += 1
+    return counts
--- a/coveflow/timeline.py
+++ b/coveflow/timeline.py
@@ -40,6 +40,13 @@
     return (spec.cpus, spec.ram_gb, spec.accelerators)
 
 
+def usable(cpus: float, ram: float, acc: float, size: Size, reserve: tuple[float, float]) -> int:
+    """How many tasks of this size fit, leaving free accelerators what their work will need."""
+    if size[2] <= 0 and acc > 0:
+        cpus, ram = cpus - acc * reserve[0], ram - acc * reserve[1]
+    return fit_size(cpus, ram, acc, size)
+
+
 class Hold(msgspec.Struct, eq=False):
     """Room in a pool kept for tasks of a job from a planned start to their guessed end."""
 
@@ -59,10 +66,12 @@
     accelerators: float
     slots: int
     first: Size  # free when the pass began
+    reserve: tuple[float, float] = (0.0, 0.0)  # CPUs and GB kept beside each free accelerator
     releases: list[tuple[int, float, float, float]] = []
 
     def fit(self, spec: Spec) -> int:
-        return max(0, min(self.slots, fit(self.cpus, self.ram_gb, self.accelerators, spec)))
+        room = (self.cpus, self.ram_gb, self.accelerators)
+        return max(0, min(self.slots, usable(*room, size_of(spec), self.reserve)))
 
     def take(self, spec: Spec, count: int) -> None:
         self.cpus -= spec.cpus * count
@@ -74,13 +83,19 @@
 class Pool:
     """Usable machines of one type, zone and kind."""
 
-    def __init__(self, now: float, buckets: int) -> None:
-        self.now, self.buckets = now, buckets
+    def __init__(
+        self, now: float, buckets: int, reserve: tuple[float, float] = (0.0, 0.0)
+    ) -> None:
+        self.now, self.buckets, self.reserve = now, buckets, reserve
         self.rooms: list[Room] = []
         self.holds: list[Hold] = []
         self.units: dict[Size, list[int]] = {}
         self.left: dict[Size, list[int]] = {}  # the same less what is held or started
-        self.held = ([0.0] * buckets, [0.0] * buckets, [0.0] * buckets)
+        # Work with accelerators and work without do not take each other's room: the reserve
+        # keeps them apart. Each sees what its own kind holds.
+        self.held = {
+            kind: ([0.0] * buckets, [0.0] * buckets, [0.0] * buckets) for kind in (False, True)
+        }
 
     def bucket(self, at: float) -> int:
         return math.ceil((at - self.now) / c.BUCKET_S - EPS)
@@ -93,13 +108,13 @@
         steps = [0] * (self.buckets + 1)
         for room in self.rooms:
             cpus, ram, acc = room.first
-            have = fit_size(cpus, ram, acc, size)
+            have = usable(cpus, ram, acc, size, self.reserve)
             steps[0] += have
             for bucket, r_cpus, r_ram, r_acc in room.releases:
                 cpus += r_cpus
                 ram += r_ram
                 acc += r_acc
-                got = fit_size(cpus, ram, acc, size)
+                got = usable(cpus, ram, acc, size, self.reserve)
                 if got > have:
                     steps[min(bucket, self.buckets)] += got - have
                     have = got
@@ -121,7 +136,7 @@
 
     def _subtract(self, size: Size, left: list[int], low: int, high: int) -> None:
         units = self.units[size]
-        cpus, ram, acc = self.held
+        cpus, ram, acc = self.held[size[2] > 0]
         for i in range(low, high):
             taken = 0
             if size[0] > 0 and cpus[i] > EPS:
@@ -138,13 +153,15 @@
 
     def _take(self, hold: Hold) -> None:
         low, high = self.span(hold.start, hold.end)
-        for table, amount in zip(self.held, hold.size, strict=True):
+        kind = hold.size[2] > 0
+        for table, amount in zip(self.held[kind], hold.size, strict=True):
             if amount > 0:
                 change = amount * hold.count
                 for i in range(low, high):
                     table[i] += change
         for size, left in self.left.items():
-            self._subtract(size, left, low, high)
+            if (size[2] > 0) == kind:
+                self._subtract(size, left, low, high)
 
     def hold(self, hold: Hold) -> None:
         self.holds.append(hold)
@@ -178,3 +195,26 @@
             if left <= 0:
                 return found
     return found
+
+
+def plan_gang(
+    pools: list[Pool], spec: Spec, guess: float, job: str, limit: int
+) -> list[tuple[Pool, Hold]]:
+    """The earliest time, from the next bucket on, at which these pools hold the whole gang."""
+    size = size_of(spec)
+    width = max(1, math.ceil(guess / c.BUCKET_S - EPS))
+    tables = [(pool, pool.available(size)) for pool in pools]
+    for b in range(1, limit):
+        if sum(table[b] for _, table in tables if table[b] > 0) < spec.tasks:
+            continue
+        left = spec.tasks
+        found: list[tuple[Pool, Hold]] = []
+        for pool, table in tables:
+            count = min(left, min(table[b : b + width]))
+            if count > 0:
+                start = pool.now + b * c.BUCKET_S
+                found.append((pool, Hold(start, start + guess, count, size, job)))
+                left -= count
+        if left <= 0:
+            return found
+    return []
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from coveflow import planner
+from coveflow import planner, scene
 from coveflow.model import Job, Machine
 from coveflow.settings import Team, Tuning
 from tests.samples import flavor, spec
@@ -22,7 +22,7 @@
     return j
 
 
-def state(jobs, machines, now=0.0, teams=None, usage=None) -> planner.State:
+def state(jobs, machines, now=0.0, teams=None, usage=None) -> scene.State:
     teams = teams or {"blue": Team("blue")}
     used: dict[str, tuple[float, float]] = {}
     for m in machines:
@@ -30,10 +30,10 @@
             owner = next(j for j in jobs if j.id == p.job)
             cpus, acc = used.get(owner.spec.team, (0.0, 0.0))
             used[owner.spec.team] = (cpus + owner.spec.cpus, acc)
-    return planner.State(jobs, machines, teams, usage or used, now, {j.id: j.arrived for j in jobs})
+    return scene.State(jobs, machines, teams, usage or used, now, {j.id: j.arrived for j in jobs})
 
 
-def run(s: planner.State, guesses, **kwargs) -> planner.Plan:
+def run(s: scene.State, guesses, **kwargs) -> planner.Plan:
     return planner.plan(s, TUNING, guesses, 200, **kwargs)
 
 
@@ -107,9 +107,9 @@
 
 
 def test_an_overrun_grows_by_powers_of_two_cycles():
-    grown = [planner.remaining(0.0, 10.0, 12.0, t, 5.0) for t in range(4)]
+    grown = [scene.remaining(0.0, 10.0, 12.0, t, 5.0) for t in range(4)]
     assert grown == [5.0, 10.0, 20.0, 40.0]
-    assert planner.remaining(0.0, 10.0, 4.0, 0, 5.0) == 6.0
+    assert scene.remaining(0.0, 10.0, 4.0, 0, 5.0) == 6.0
 
 
 def test_gangs_start_whole_or_not_at_all():
@@ -119,7 +119,7 @@
 
 def test_value_falls_after_the_deadline():
     s = spec(deadline_s=100.0)
-    values = [planner.value(s, 0.0, end, 1.0) for end in (50.0, 100.0, 150.0, 250.0)]
+    values = [scene.value(s, 0.0, end, 1.0) for end in (50.0, 100.0, 150.0, 250.0)]
     assert values == [1.0, 1.0, 0.5, 0.0]
 
 
@@ -180,3 +180,88 @@
     assert started(run(state([short, long], [machine("a")], now=25.0), guesses)) == {"j-2": 8}
     long.arrived = 200.0
     assert started(run(state([short, long], [machine("a")], now=205.0), guesses)) == {"j-1": 8}
+
+
+# --- accelerators, gangs and goals ---------------------------------------------------------
+
+GPU = {"cpus": 12.0, "accelerators": 2.0, "ram_gb": 48.0}
+GANG = {"kind": "gang", "cpus": 10.0, "accelerators": 2.0, "ram_gb": 38.0, "priority": 2}
+USES = frozenset({scene.Use(5.0, 19.0)})
+
+
+def vision(name: str, zone: str = "north") -> Machine:
+    m = machine(name, **GPU)
+    m.zone = zone
+    return m
+
+
+def test_a_team_guaranteed_accelerators_only_has_guaranteed_jobs():
+    """Its CPUs were compared with a guarantee of 0 CPUs, so none was ever within it."""
+    teams = {"blue": Team("blue", accelerators=4.0)}
+    jobs = [job("j-1", 0.0, tasks=2, **GANG), job("j-2", 1.0, tasks=1, **GANG),
+            job("j-3", 2.0, tasks=3)]  # fmt: skip
+    assert scene.guaranteed(state(jobs, [], teams=teams)) == {"j-1"}
+
+
+def test_gangs_do_not_hold_pieces_that_keep_each_other_out():
+    """Two gangs bound to one zone each held a place in both zones, and neither ever started."""
+    a, b = [vision(f"a{i}") for i in range(2)], [vision(f"b{i}", "south") for i in range(2)]
+    running = [job(f"j-{i}", tasks=1, **GANG) for i in range(2)]
+    running[0].place(a[0], 0.0).since = 0.0
+    running[1].place(b[0], 0.0).since = 0.0
+    gangs = [job(f"j-1{i}", tasks=2, one_zone=True, **GANG) for i in range(2)]
+    guesses = {"j-0": 20.0, "j-1": 60.0, "j-10": 100.0, "j-11": 100.0}
+    s = state(running + gangs, a + b, now=5.0)
+    s.goals = {"sort": (scene.Goal(25.0, False),)}
+    held = run(s, guesses).holds
+    assert [(h.job, h.count) for h in held["m8", "north", False]] == [("j-10", 2)]
+    assert [(h.job, h.count) for h in held["m8", "south", False]] == [("j-11", 2)]
+
+
+def test_work_without_accelerators_keeps_off_the_room_they_need():
+    """Two CPUs of each machine once went to small tasks, and no gang found a whole machine."""
+    small, gang = job("j-1", tasks=20, cpus=2.0), job("j-2", 1.0, tasks=1, **GANG)
+    s = state([small, gang], [vision("a")], now=2.0)
+    s.uses = USES
+    assert started(run(s, {"j-1": 30.0, "j-2": 90.0})) == {"j-1": 1, "j-2": 1}
+
+
+def test_a_goal_is_worth_less_the_later_the_start():
+    j = job("j-1", **GANG)
+    s = state([j], [])
+    s.goals = {"sort": (scene.Goal(20.0, False), scene.Goal(100.0, True))}
+    at = [scene.worth(j, s, start, 60.0, 1.0) for start in (0.0, 30.0, 60.0, 200.0)]
+    assert at == [1.0, 0.75, 0.4, 0.0]
+
+
+def test_only_stops_that_make_room_for_the_whole_gang_are_made():
+    """By zone: half a gang's room is worth nothing, and neither is room of another zone."""
+    late = {"tasks": 2, "cpus": 5.0, "accelerators": 1.0, "ram_gb": 18.0, "deadline_s": 10.0}
+    north, south = [vision("a0"), vision("a1")], [vision("b0", "south"), vision("b1", "south")]
+    victims = []
+    for i, m in enumerate([*north, *south]):
+        v = job(f"j-{i}", **late)
+        for _ in range(2):
+            v.place(m, 0.0).since = 0.0
+        victims.append(v)
+    keeper = job("j-8", tasks=1, **GANG)  # of the same priority: may not be stopped
+    m = vision("b1x", "south")
+    keeper.place(m, 0.0).since = 0.0
+    gang = job("j-9", 20.0, tasks=2, one_zone=True, **GANG)
+    guesses = dict.fromkeys(["j-0", "j-1", "j-2", "j-3", "j-8", "j-9"], 200.0)
+    s = state([*victims, keeper, gang], [*north, *south, m], now=21.0)
+    s.goals = {"sort": (scene.Goal(25.0, False),)}
+    assert sorted(run(s, guesses).stops) in (["j-0", "j-1"], ["j-2", "j-3"])
+    four = job("j-9", 20.0, tasks=4, one_zone=True, **GANG)
+    s = state([*victims, keeper, four], [*north, *south, m], now=21.0)
+    s.goals = {"sort": (scene.Goal(25.0, False),)}
+    assert run(s, guesses).stops == []
+
+
+def test_a_gang_takes_the_zone_where_all_its_machines_have_the_image():
+    a, b = [vision(f"a{i}") for i in range(3)], [vision(f"b{i}", "south") for i in range(2)]
+    for m in (a[0], b[0], b[1]):
+        m.images["img"] = 5.0
+    gang = job("j-1", tasks=2, one_zone=True, image_gb=5.0, **GANG)
+    plan = run(state([gang], a + b), {"j-1": 60.0})
+    assert sorted(start.machine for start in plan.starts) == ["b0", "b1"]
