--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -58,8 +58,10 @@
 NOTICE_SILENT_S = 3.0  # s of silence after a spot notice that mean the machine was taken
 BOOT_PATIENCE = 3.0  # times the nominal boot time before a machine that is not up is returned
 BOOT_PATIENCE_S = 30.0  # s added to it
-SUSPECT_JOBS = 3  # jobs that failed with an error on a machine before it is avoided
-ERROR_BACKOFF_S = 2.0  # s; pause of a job whose task failed, doubled with each failure
+SUSPECT_JOBS = 2  # jobs that failed with an error on a machine before it is avoided
+SUSPECT_TASKS = 2  # failures of one job that completes elsewhere, before it is avoided
+ERROR_MACHINES = 3  # sound machines on which a job failed before the job is to blame
+ERROR_BACKOFF_S = 2.0  # s; pause of a job that is to blame, doubled with each failure
 ERROR_BACKOFF_MAX_S = 60.0  # s
 DRAIN_SPARE_S = 2.0  # s before a spot machine's end at which saving must be over
 
--- a/coveflow/fleet.py
+++ b/coveflow/fleet.py
@@ -10,6 +10,7 @@
 from . import constants as c
 from .model import Flavor, Listed, Machine, Placement, Spec
 from .planner import Lack
+from .scene import elsewhere
 from .settings import Tuning
 from .timeline import EPS, fit
 
@@ -22,6 +23,7 @@
 IDLE_SOON_S = 5.0  # s after which a machine goes back while much more room is idle
 READY_PART = 0.4  # of the CPUs in use: room beyond this is much more than a rush needs
 KEPT_S = 90.0  # s a rented machine is typically busy, to spread the cost of its boot over
+NEEDED_S = 180.0  # s for which the most machines that prompt work took stay ready
 REFUSED_S = 15.0  # s before a type, zone and kind that was refused is asked for again
 
 
@@ -85,6 +87,7 @@
     booting: dict[str, Booting] = {}
     asked: dict[tuple[str, str, bool], Want] = {}
     closed: dict[tuple[str, str, bool], float] = {}
+    needed: dict[tuple[str, bool], tuple[int, float]] = {}  # most, and when; by type and kind
 
     def knows(self, machine: str) -> bool:
         return machine in self.booting
@@ -130,12 +133,33 @@
         flavors: list[Flavor],
         tuning: Tuning,
         settled: bool,
+        prompt: Callable[[str], bool] = lambda job: False,
     ) -> tuple[list[Want], list[str]]:
         by_name = {f.name: f for f in flavors}
+        self._needed(now, machines, prompt)
         wants = self._wants(now, lacks, by_name) if settled else []
         returns = self._returns(now, machines, lacks, tuning) if settled else []
         return wants, returns
 
+    def _needed(
+        self, now: float, machines: list[Machine], prompt: Callable[[str], bool]
+    ) -> None:
+        """How many machines of each type and kind served work that is to start promptly.
+
+        The most of the last minutes stays up: a boot takes longer than such work may wait.
+        """
+        counts: dict[tuple[str, bool], int] = {}
+        for m in machines:
+            if any(prompt(p.job) for p in m.placements.values()):
+                key = (m.flavor.name, m.spot)
+                counts[key] = counts.get(key, 0) + 1
+        for key, count in counts.items():
+            if count >= self.needed.get(key, (0, 0.0))[0]:
+                self.needed[key] = (count, now)
+        for key, (_, at) in list(self.needed.items()):
+            if now - at > NEEDED_S:
+                self.needed[key] = (counts.get(key, 0), now)
+
     def _wants(
         self,
         now: float,
@@ -157,14 +181,17 @@
             spec, left = lack.spec, lack.count
             if not lack.urgent and lack.waited < BEST_EFFORT_S:
                 continue
+            # What is beside accelerators is kept for their work while others can be had.
+            plain = spec.accelerators <= 0 and elsewhere(spec, list(flavors.values()))
             for machine in coming:
                 if left <= 0:
                     break
-                left -= machine.put(spec, left)
+                if not (plain and machine.flavor.accelerators > 0):
+                    left -= machine.put(spec, left)
             coming = [machine for machine in coming if machine.cpus > EPS]
             while left > 0:
                 # A kind whose request is full leaves the rest to the next kind at once.
-                option = self._cheapest(now, spec, lack, left, flavors, counts)
+                option = self._cheapest(now, spec, lack, left, flavors, counts, plain)
                 if option is None:
                     break
                 flavor, zone, spot = option
@@ -191,13 +218,14 @@
         left: int,
         flavors: dict[str, Flavor],
         counts: dict[tuple[str, str, bool], int],
+        plain: bool,
     ) -> tuple[Flavor, str, bool] | None:
         best: tuple[tuple[float, ...], tuple[Flavor, str, bool]] | None = None
         for flavor in flavors.values():
             if spec.types is not None and flavor.name not in spec.types:
                 continue
             slots = fit(flavor.cpus, flavor.ram_gb, flavor.accelerators, spec)
-            if slots <= 0:
+            if slots <= 0 or (plain and flavor.accelerators > 0):
                 continue
             for zone in flavor.zones:
                 if spec.zone is not None and zone != spec.zone:
@@ -290,9 +318,12 @@
     ) -> list[str]:
         idle: list[Machine] = []
         free = used = 0.0
+        up: dict[tuple[str, bool], int] = {}
         for m in machines:
             if m.returning or not m.up:
                 continue
+            key = (m.flavor.name, m.spot)
+            up[key] = up.get(key, 0) + 1
             used += m.flavor.cpus - m.cpus
             free += m.cpus
             if m.placements or m.clearing:
@@ -323,6 +354,10 @@
                 continue
             if free - m.flavor.cpus < tuning.spare * used:
                 continue
+            key = (m.flavor.name, m.spot)
+            if up[key] <= self.needed.get(key, (0, 0.0))[0]:
+                continue
+            up[key] -= 1
             free -= m.flavor.cpus
             returns.append(m.id)
         return returns
--- a/coveflow/model.py
+++ b/coveflow/model.py
@@ -214,7 +214,8 @@
     returning: bool = False
     draining: bool = False  # its tasks move elsewhere, then it goes back
     suspect: bool = False
-    failed_jobs: set[str] = set()
+    failed_jobs: dict[str, int] = {}  # failures by job since a task last completed here
+    failed_at: float = -1e9  # when a task last failed here
     images: OrderedDict[str, float] = msgspec.field(default_factory=OrderedDict)
     speed: float = 1.0
     speed_n: int = 0
--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -601,6 +601,7 @@
             # A new tenure: the worker has killed and forgotten all it ran before.
             for p in list(m.placements.values()):
                 self._end(p, False, "the machine's lease ran out")
+                self._gang_ended(p, False)
             m.tenure = report.tenure
         m.counter, m.epoch, m.heard = report.counter, report.epoch, now
         if report.notice_s is not None:
@@ -653,25 +654,46 @@
             job.run_sum += run_s
             job.run_count += 1
         self._end(p, done, why)
-        if job.spec.kind == "gang":
-            self._gang_ended(job, p, done)
-        if why == "error":
-            job.errors += 1
-            job.bad_machines.add(m.id)
-            m.failed_jobs.add(job.id)
-            pause = min(c.ERROR_BACKOFF_S * 2 ** min(job.errors, 10), c.ERROR_BACKOFF_MAX_S)
-            if job.errors > 2:
-                job.not_before = now + pause
-                if len(job.bad_machines) >= max(3, len(self.machines) // 2):
-                    job.bad_machines.clear()  # it fails everywhere: no machine is to blame
-            if len(m.failed_jobs) >= c.SUSPECT_JOBS and not m.suspect:
-                m.suspect = True
-                log.warning("machine %s: tasks of %d jobs failed", m.id, len(m.failed_jobs))
+        self._gang_ended(p, done)
+        if done and p.placed_at > m.failed_at:
+            m.failed_jobs.clear()  # it completes what it starts
+        elif why == "error":
+            self._failed(m, job, now)
         elif why in ("full", "busy", "unknown"):
             job.not_before = max(job.not_before, now + 1.0)
 
-    def _gang_ended(self, job: Job, p: Placement, done: bool) -> None:
-        """A gang completes together, and falls apart together."""
+    def _failed(self, m: Machine, job: Job, now: float) -> None:
+        """A task failed: blame the machine if it fails much, the job if it fails anywhere.
+
+        A machine that fails every task at once is always free again and drew all the work to
+        it; the jobs, counted out by their failures there, waited for up to a minute.
+        """
+        job.bad_machines.add(m.id)
+        m.failed_at = now
+        if not job.errors:
+            m.failed_jobs[job.id] = m.failed_jobs.get(job.id, 0) + 1
+        alone = bool(job.done) and m.failed_jobs.get(job.id, 0) >= c.SUSPECT_TASKS
+        if not m.suspect and (len(m.failed_jobs) >= c.SUSPECT_JOBS or alone):
+            m.suspect = True
+            log.warning("machine %s: tasks of %d jobs failed", m.id, len(m.failed_jobs))
+        blamed = self.machines
+        sound = [name for name in job.bad_machines if name in blamed and not blamed[name].suspect]
+        if len(sound) >= c.ERROR_MACHINES and not job.done:
+            job.errors += 1
+            job.not_before = now + min(
+                c.ERROR_BACKOFF_S * 2 ** min(job.errors, 10), c.ERROR_BACKOFF_MAX_S
+            )
+            if len(job.bad_machines) >= max(c.ERROR_MACHINES, len(self.machines) // 2):
+                job.bad_machines.clear()  # it fails everywhere: no machine is to blame
+
+    def _gang_ended(self, p: Placement, done: bool) -> None:
+        """A gang completes together, and falls apart together, whatever proved the end.
+
+        Mates of a task that ended with its machine's lease once went on waiting for it.
+        """
+        job = self.jobs[p.job]
+        if job.spec.kind != "gang":
+            return
         for mate in job.placed.values():
             if mate.number != p.number:
                 continue
@@ -876,6 +898,7 @@
             arrived={job.id: now - max(0.0, wall - job.arrived) for job in self.jobs.values()},
             goals=self.goals,
             uses=frozenset(self.uses),
+            flavors=list(self.flavors.values()),
         )
         guesses = {job.id: job.guess_s for job in self.jobs.values()}
         plan = planner.plan(
@@ -937,6 +960,7 @@
             tuning=self.tuning,
             # After a take-over, machines that are up already have yet to report.
             settled=self.leading == 1 or now - self.lead_since > 3 * self.params.workers.report_s,
+            prompt=lambda job: self.jobs[job].spec.workload in self.goals,
         )
         for want in wants:
             self.on_effects("rent", want)
@@ -1028,14 +1052,9 @@
         waiting = self.held.pop(name, None)
         if waiting is not None and not waiting.reply.done():
             waiting.reply.set_result(None)
-        gangs = []
         for p in list(m.placements.values()):
-            job = self.jobs[p.job]
-            if job.spec.kind == "gang":
-                gangs.append((job.id, p))
             self._end(p, False, f"its machine was {why}")
-        for job_id, p in gangs:
-            self._gang_ended(self.jobs[job_id], p, False)
+            self._gang_ended(p, False)
         m.up = False
         self.drop[name] = None
         self.dirty_machines[name] = None
--- a/coveflow/placing.py
+++ b/coveflow/placing.py
@@ -8,7 +8,7 @@
 from .model import Job, Spec
 from .scene import Field, PoolKey, State, pool_key
 from .settings import Tuning
-from .timeline import EPS, Hold, Pool, Room, plan_gang, plan_starts, size_of
+from .timeline import EPS, Hold, Pool, Room, Size, plan_gang, plan_starts
 
 SLACK = 0.8  # part of a guess that a planned end must keep before the deadline
 DELAY_STEP_S = 3.0  # s of fetching or slowness that count as no difference
@@ -21,21 +21,22 @@
 ) -> list[tuple[Room, int]]:
     """Choose machines for up to `want` tasks and take their room; a gang gets all or none."""
     spec = job.spec
+    size = there.size(spec)
     options: list[Option] = []
     tight = there.tight
     spare: dict[PoolKey, int] = {}  # what the holds of other jobs leave to this one
     for key, pool in there.pools.items():
         if not pool.rooms[0].machine.allowed(spec):
             continue
-        if state.now + guess > there.claims.get((key, spec.accelerators > 0), math.inf):
+        if state.now + guess > there.claims.get((key, size[2] > 0), math.inf):
             continue
         if pool.holds:
             there.steps += pool.buckets
             low, high = pool.span(state.now, state.now + guess)
-            spare[key] = min(pool.available(size_of(spec))[low:high])
+            spare[key] = min(pool.available(size)[low:high])
             if spare[key] <= 0:
                 continue
-        _options(job, pool.rooms, tight, guess, options)
+        _options(job, size, pool.rooms, tight, guess, options)
     leaving = [
         room
         for room in there.leaving
@@ -43,7 +44,7 @@
         if room.machine.allowed(spec)
         and state.now + guess * room.machine.speed < (room.machine.ends_at or 0.0)
     ]
-    _options(job, leaving, tight, guess, options)
+    _options(job, size, leaving, tight, guess, options)
     there.steps += len(options)
     options.sort(key=lambda option: option[:2])
     zones = _zones(job, state)
@@ -107,14 +108,14 @@
 
 
 def _options(
-    job: Job, rooms: list[Room], tight: bool, guess: float, options: list[Option]
+    job: Job, size: Size, rooms: list[Room], tight: bool, guess: float, options: list[Option]
 ) -> None:
     spec = job.spec
     cpus = spec.cpus - EPS
     for room in rooms:
         if room.cpus < cpus:
             continue
-        count = room.fit(spec)
+        count = room.fit(size)
         if count > 0 and room.machine.id not in job.bad_machines:
             options.append((_preference(room, spec, tight, guess), room.machine.id, count, room))
 
@@ -131,9 +132,11 @@
     fetch = spec.image not in m.images
     exposed = m.spot if spec.checkpoint_s <= 0 else not m.spot
     if spec.accelerators > 0:
-        # The sooner it ends there the better; halves gather, so that whole machines stay free.
+        # Machines that the cloud may take back serve only work that can save; it goes there
+        # first, as others have no other place. Then where it ends soonest; halves gather, so
+        # that whole machines stay free.
         delay = (spec.image_gb / m.flavor.fetch_gb_per_s if fetch else 0.0) + slow * guess
-        return (round(delay / DELAY_STEP_S), exposed, room.accelerators, room.cpus)
+        return (exposed, round(delay / DELAY_STEP_S), room.accelerators, room.cpus)
     if tight:
         return (slow, fetch, exposed, room.cpus)
     return (slow, fetch, not m.placements, not m.spot, room.cpus)
@@ -182,9 +185,9 @@
     there.steps += buckets * len(pools)
     planned, late = state.now, 0
     if spec.kind == "gang":
-        found = _hold_gang(spec, pools, guess, job.id, buckets)
+        found = _hold_gang(spec, there.size(spec), pools, guess, job.id, buckets)
     else:
-        found = plan_starts(pools, spec, left, guess, job.id, buckets)
+        found = plan_starts(pools, there.size(spec), left, guess, job.id, buckets)
     for pool, held in found:
         pool.hold(held)
         left -= held.count
@@ -195,7 +198,7 @@
 
 
 def _hold_gang(
-    spec: Spec, pools: list[Pool], guess: float, name: str, buckets: int
+    spec: Spec, size: Size, pools: list[Pool], guess: float, name: str, buckets: int
 ) -> list[tuple[Pool, Hold]]:
     """Room for a whole gang at one time, in one zone where it asks for that.
 
@@ -203,9 +206,11 @@
     them waited beside a fleet that was half idle.
     """
     if not spec.one_zone:
-        return plan_gang(pools, spec, guess, name, buckets)
+        return plan_gang(pools, size, spec.tasks, guess, name, buckets)
     zones: dict[str, list[Pool]] = {}
     for pool in pools:
         zones.setdefault(pool.rooms[0].machine.zone, []).append(pool)
-    plans = [plan_gang(of_zone, spec, guess, name, buckets) for of_zone in zones.values()]
+    plans = [
+        plan_gang(of_zone, size, spec.tasks, guess, name, buckets) for of_zone in zones.values()
+    ]
     return min((p for p in plans if p), key=lambda plan: plan[0][1].start, default=[])
--- a/coveflow/planner.py
+++ b/coveflow/planner.py
@@ -119,7 +119,7 @@
             there.free -= spec.cpus * count
             pool = there.pools.get(pool_key(room.machine))
             if pool is not None and full:
-                pool.started(spec, count, state.now + guess * room.machine.speed)
+                pool.started(there.size(spec), count, state.now + guess * room.machine.speed)
         if got:
             cpus, acc = usage.get(spec.team, (0.0, 0.0))
             usage[spec.team] = (cpus + spec.cpus * got, acc + spec.accelerators * got)
--- a/coveflow/scene.py
+++ b/coveflow/scene.py
@@ -15,7 +15,7 @@
 from . import constants as c
 from .model import Flavor, Job, Machine, Spec
 from .settings import Objective, Team, Tuning
-from .timeline import EPS, Pool, Room
+from .timeline import EPS, Pool, Room, Size, fit_size, size_of
 
 TIGHT = 0.25  # free part of the fleet's CPUs below which it counts as full
 
@@ -64,6 +64,7 @@
     where: dict[str, str] = {}  # zone of every machine, heard or not
     goals: dict[str, tuple[Goal, ...]] = {}  # by class, for classes that are to start in time
     uses: frozenset[Use] = frozenset()  # of accelerators, by recent jobs
+    flavors: list[Flavor] = []  # types of the cloud
 
 
 def remaining(
@@ -89,8 +90,12 @@
     victims: dict[str, Counter[PoolKey]] | None = None  # attempts by job and pool
     samples: dict[PoolKey, Machine] = {}
     stopping: set[PoolKey] = set()  # pools where room is on its way
+    flavors: list[Flavor] = []
     steps: int = 0
 
+    def size(self, spec: Spec) -> Size:
+        return size_of(spec, bound=not elsewhere(spec, self.flavors))
+
     @property
     def tight(self) -> bool:
         return self.free < TIGHT * self.total
@@ -107,6 +112,17 @@
     return Use(spec.cpus / spec.accelerators, spec.ram_gb / spec.accelerators)
 
 
+def elsewhere(spec: Spec, flavors: list[Flavor]) -> bool:
+    """Whether some type without accelerators can run the job's tasks."""
+    return any(
+        f.accelerators <= 0
+        and (spec.types is None or f.name in spec.types)
+        and (spec.zone is None or spec.zone in f.zones)
+        and fit_size(f.cpus, f.ram_gb, 0.0, (spec.cpus, spec.ram_gb, spec.accelerators)) > 0
+        for f in flavors
+    )
+
+
 def reserve_of(flavor: Flavor, uses: frozenset[Use]) -> Use:
     """What a free accelerator of this type keeps beside it: the most that all could have."""
     fitting = [
@@ -125,7 +141,7 @@
 ) -> Field:
     """Pools and rooms of the machines; with their releases where a future is needed."""
     buckets = max(2, math.ceil(tuning.horizon_s / c.BUCKET_S))
-    found = Field({})
+    found = Field({}, flavors=state.flavors)
     jobs = {job.id: job for job in state.jobs} if future else {}
     now, cycle = state.now, tuning.cycle_s
     reserves: dict[str, Use] = {}
--- a/coveflow/stopping.py
+++ b/coveflow/stopping.py
@@ -5,28 +5,31 @@
 from collections import Counter
 
 from .model import Job, Spec
-from .scene import Field, PoolKey, State, pool_key, worth
+from .scene import Field, Goal, PoolKey, State, pool_key, worth
 from .settings import Tuning
-from .timeline import EPS, fit, size_of, usable
+from .timeline import EPS, Size, fit, usable
 
-Size = tuple[float, float, float]
 
-
-def stop_cost(job: Job, tuning: Tuning, now: float, arrived: float, guess: float) -> float:
+def stop_cost(
+    job: Job, tuning: Tuning, now: float, arrived: float, goals: tuple[Goal, ...] = ()
+) -> float:
     """What it costs to stop all of a job's tasks, in best-effort tasks.
 
     Each earlier stop multiplies it: a job that is stopped at every arrival of more urgent
     work makes no progress at all, and the room it keeps refilling is fetched and saved for
-    nothing.
+    nothing. A run of a class with goals costs as much as a deadline job whose run began just
+    now: it would wait again, and stops of such runs once took turns.
     """
     count = len(job.placed) * tuning.stop_growth**job.preempted
-    if job.spec.kind == "service":
+    if job.spec.kind == "service" or (goals and job.spec.deadline_s is None):
         return count * tuning.stop_ratio
     if job.spec.deadline_s is None:
         return count
-    # A run that ends near or past its deadline has less to lose.
+    # A run that ends near or past its deadline has less to lose, but never nothing: late jobs
+    # were once stopped at every pass, up to nine times, as that was free.
     slack = arrived + job.spec.deadline_s - now
-    return count * tuning.stop_ratio * max(0.0, min(1.0, slack / max(job.spec.deadline_s, 1.0)))
+    part = max(0.0, min(1.0, slack / max(job.spec.deadline_s, 1.0)))
+    return count * max(1.0, tuning.stop_ratio * part)
 
 
 def may_stop(
@@ -75,7 +78,7 @@
         job, state, planned, guess, tuning.slope
     )
     if is_inside and planned > state.now + tuning.cycle_s:
-        gain = max(gain, 1.0)
+        gain = gain + 1.0 if spec.workload in state.goals else max(gain, 1.0)
     if gain <= 0:
         return []
     over = _over(spec, state)
@@ -97,7 +100,11 @@
         if not freed_tasks:
             continue
         cost = stop_cost(
-            victim, tuning, state.now, state.arrived[victim.id], guesses.get(victim.id, 60.0)
+            victim,
+            tuning,
+            state.now,
+            state.arrived[victim.id],
+            state.goals.get(victim.spec.workload, ()),
         )
         options.append((cost / freed_tasks, cost, freed_tasks, victim.id))
     options.sort()
@@ -143,6 +150,7 @@
     A stop that leaves a gang short of a single place is pure loss.
     """
     jobs = {job.id: job for job in state.jobs}
+    size = there.size(spec)
     groups: dict[str, list[PoolKey]] = {}
     for key, pool in there.pools.items():
         if pool.rooms[0].machine.allowed(spec):
@@ -153,7 +161,7 @@
         free: dict[str, Size] = {
             name: (room.cpus, room.ram_gb, room.accelerators) for name, room in rooms.items()
         }
-        fits = {name: room.fit(spec) for name, room in rooms.items()}
+        fits = {name: room.fit(size) for name, room in rooms.items()}
         have = sum(fits.values())
         if have >= spec.tasks:
             continue  # it is held for others, who come first
@@ -170,7 +178,7 @@
                     ram + victim.spec.ram_gb * count,
                     acc + victim.spec.accelerators * count,
                 )
-                now_fits = usable(*room, size_of(spec), rooms[machine].reserve)
+                now_fits = usable(*room, size, rooms[machine].reserve)
                 have += now_fits - fits[machine]
                 fits[machine] = now_fits
             if have > before:
--- a/coveflow/timeline.py
+++ b/coveflow/timeline.py
@@ -17,6 +17,7 @@
 from .model import Machine, Spec
 
 EPS = 1e-6
+TRACE = 1e-9  # accelerators; an amount that bounds nothing
 Size = tuple[float, float, float]  # CPUs, GB of memory, accelerators
 
 
@@ -36,8 +37,13 @@
     return 1_000_000 if most == math.inf else max(0, int(most))
 
 
-def size_of(spec: Spec) -> Size:
-    return (spec.cpus, spec.ram_gb, spec.accelerators)
+def size_of(spec: Spec, bound: bool = False) -> Size:
+    """A task's size. One `bound` to machines with accelerators counts among their work.
+
+    It could go nowhere else, so the room kept for free accelerators is not kept from it.
+    """
+    trace = TRACE if bound and spec.accelerators <= 0 else 0.0
+    return (spec.cpus, spec.ram_gb, spec.accelerators + trace)
 
 
 def usable(cpus: float, ram: float, acc: float, size: Size, reserve: tuple[float, float]) -> int:
@@ -69,9 +75,9 @@
     reserve: tuple[float, float] = (0.0, 0.0)  # CPUs and GB kept beside each free accelerator
     releases: list[tuple[int, float, float, float]] = []
 
-    def fit(self, spec: Spec) -> int:
+    def fit(self, size: Size) -> int:
         room = (self.cpus, self.ram_gb, self.accelerators)
-        return max(0, min(self.slots, usable(*room, size_of(spec), self.reserve)))
+        return max(0, min(self.slots, usable(*room, size, self.reserve)))
 
     def take(self, spec: Spec, count: int) -> None:
         self.cpus -= spec.cpus * count
@@ -167,16 +173,15 @@
         self.holds.append(hold)
         self._take(hold)
 
-    def started(self, spec: Spec, count: int, end: float) -> None:
+    def started(self, size: Size, count: int, end: float) -> None:
         """Tasks that start in this pass take room until their guessed end."""
-        self._take(Hold(self.now, end, count, size_of(spec), ""))
+        self._take(Hold(self.now, end, count, size, ""))
 
 
 def plan_starts(
-    pools: Iterable[Pool], spec: Spec, left: int, guess: float, job: str, limit: int
+    pools: Iterable[Pool], size: Size, left: int, guess: float, job: str, limit: int
 ) -> list[tuple[Pool, Hold]]:
     """The earliest starts, from the next bucket on, that leave other holds their room."""
-    size = size_of(spec)
     width = max(1, math.ceil(guess / c.BUCKET_S - EPS))
     tables = [(pool, list(pool.available(size))) for pool in pools if pool.rooms]
     found: list[tuple[Pool, Hold]] = []
@@ -198,16 +203,15 @@
 
 
 def plan_gang(
-    pools: list[Pool], spec: Spec, guess: float, job: str, limit: int
+    pools: list[Pool], size: Size, tasks: int, guess: float, job: str, limit: int
 ) -> list[tuple[Pool, Hold]]:
     """The earliest time, from the next bucket on, at which these pools hold the whole gang."""
-    size = size_of(spec)
     width = max(1, math.ceil(guess / c.BUCKET_S - EPS))
     tables = [(pool, pool.available(size)) for pool in pools]
     for b in range(1, limit):
-        if sum(table[b] for _, table in tables if table[b] > 0) < spec.tasks:
+        if sum(table[b] for _, table in tables if table[b] > 0) < tasks:
             continue
-        left = spec.tasks
+        left = tasks
         found: list[tuple[Pool, Hold]] = []
         for pool, table in tables:
             count = min(left, min(table[b : b + width]))
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -222,10 +222,18 @@
     """Two CPUs of each machine once went to small tasks, and no gang found a whole machine."""
     small, gang = job("j-1", tasks=20, cpus=2.0), job("j-2", 1.0, tasks=1, **GANG)
     s = state([small, gang], [vision("a")], now=2.0)
-    s.uses = USES
+    s.uses, s.flavors = USES, [flavor("v12", **GPU), flavor("m8")]
     assert started(run(s, {"j-1": 30.0, "j-2": 90.0})) == {"j-1": 1, "j-2": 1}
 
 
+def test_work_that_fits_no_other_machines_may_use_those_with_accelerators():
+    """The kept room would have starved a job bound to the type, long after its users left."""
+    s = state([job("j-1", tasks=20, cpus=2.0, types=["v12"])], [vision("a")], now=2.0)
+    s.machines[0].flavor = flavor("v12", **GPU)
+    s.uses, s.flavors = USES, [flavor("v12", **GPU), flavor("m8")]
+    assert started(run(s, {"j-1": 30.0})) == {"j-1": 6}
+
+
 def test_a_goal_is_worth_less_the_later_the_start():
     j = job("j-1", **GANG)
     s = state([j], [])
