--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -68,6 +68,9 @@
 # --- planning --------------------------------------------------------------------------
 BUCKET_S = 2.5  # s; steps in which a pool's future is planned, half a cycle
 EVENT_PASS_S = 0.15  # s between two cheap passes, so that exits share one
+READY_S = 30.0  # s of coming work for which free accelerators are kept; about a boot or a fetch
+ASKED_PARTS = 6  # parts of the time over which recent demand is counted; their median is taken,
+ASKED_PART_S = 20.0  # s each, so that a single rush does not pass for what usually comes
 USES_KEPT = 32  # recent jobs' use beside an accelerator, from which free ones keep room
 PASS_PART = 12  # times a pass's own time before the next: planning stays under a tenth
 ARRIVAL_CYCLE_S = 0.5  # s between two full cycles that newly arrived jobs bring forward
--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from . import constants as c
-from . import fleet, planner, scene, wire
+from . import demand, fleet, planner, scene, wire
 from .estimates import Predictor
 from .meters import Meters
 from .model import (
@@ -216,6 +216,7 @@
     def _clear_lead(self) -> None:
         self.jobs: dict[str, Job] = {}
         self.uses: OrderedDict[scene.Use, None] = OrderedDict()  # of accelerators, by recent jobs
+        self.demand: dict[str, demand.Demand] = {}  # for accelerators, by class
         self.machines: dict[str, Machine] = {}
         self.unsettled: dict[str, int] = {}
         self.ends: dict[str, list[End]] = {}
@@ -495,6 +496,8 @@
                 self.uses.move_to_end(use)
                 if len(self.uses) > c.USES_KEPT:
                     self.uses.popitem(last=False)
+                known = self.demand.setdefault(job.spec.workload, demand.Demand())
+                known.add(job.spec, self.clock() - max(0.0, self.wall() - job.arrived))
             log.info(
                 "job %s: %d tasks of %s (%g CPUs each%s) for %s",
                 job.id,
@@ -863,9 +866,16 @@
         free = sum(m.cpus for m in heard)
         waiting = sum(len(job.free) for job in self.jobs.values() if job.cancelled is None)
         pulling = sum(p.state != "running" for m in heard for p in m.placements.values())
+        scarce = ""
+        for spot in (False, True):
+            there = [m for m in heard if m.flavor.accelerators and m.spot == spot]
+            if there:
+                most = sum(m.flavor.accelerators for m in there)
+                used = most - sum(m.accelerators for m in there)
+                scarce += f"{used:g} of {most:g} {'spot ' if spot else ''}accelerators, "
         return (
-            f"{len(heard)} of {len(self.machines)} machines heard, {total - free:g} of {total:g}"
-            f" CPUs in use, {waiting} tasks wait, {pulling} do not run yet"
+            f"{len(heard)} of {len(self.machines)} machines heard, {scarce}{total - free:g} of"
+            f" {total:g} CPUs in use, {waiting} tasks wait, {pulling} do not run yet"
         )
 
     def _guess(self, job: Job) -> None:
@@ -899,6 +909,7 @@
             goals=self.goals,
             uses=frozenset(self.uses),
             flavors=list(self.flavors.values()),
+            asked=[known.asked(now) for known in self.demand.values()],
         )
         guesses = {job.id: job.guess_s for job in self.jobs.values()}
         plan = planner.plan(
--- a/coveflow/placing.py
+++ b/coveflow/placing.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Iterable
 
+from .constants import BUCKET_S, READY_S
 from .model import Job, Spec
 from .scene import Field, PoolKey, State, pool_key
 from .settings import Tuning
@@ -17,9 +18,13 @@
 
 
 def start_now(
-    job: Job, want: int, there: Field, state: State, guess: float
+    job: Job, want: int, there: Field, state: State, guess: float, full: bool, first: bool
 ) -> list[tuple[Room, int]]:
-    """Choose machines for up to `want` tasks and take their room; a gang gets all or none."""
+    """Choose machines for up to `want` tasks and take their room; a gang gets all or none.
+
+    A job that comes first, by a guarantee or its class's goals, takes what there is; others
+    leave accelerators for those to come.
+    """
     spec = job.spec
     size = there.size(spec)
     options: list[Option] = []
@@ -30,12 +35,23 @@
             continue
         if state.now + guess > there.claims.get((key, size[2] > 0), math.inf):
             continue
-        if pool.holds:
+        leave = 0.0 if first else there.coming.get(key, 0.0) / max(spec.accelerators, EPS)
+        if pool.holds or (leave and full):
             there.steps += pool.buckets
             low, high = pool.span(state.now, state.now + guess)
             spare[key] = min(pool.available(size)[low:high])
-            if spare[key] <= 0:
-                continue
+            if leave:
+                # Work that is to start promptly will come: what others take must be free again
+                # by then, or be more than that.
+                spare[key] = min(
+                    math.floor(have - leave * i * BUCKET_S)
+                    for i, have in enumerate(pool.available(size)[low:high])
+                )
+        elif leave:
+            free = sum(room.fit(size) for room in pool.rooms)
+            spare[key] = math.floor(free - leave * READY_S)
+        if spare.get(key, 1) <= 0:
+            continue
         _options(job, size, pool.rooms, tight, guess, options)
     leaving = [
         room
--- a/coveflow/planner.py
+++ b/coveflow/planner.py
@@ -112,7 +112,8 @@
         want = min(len(job.free), allowed)
         if spec.kind == "gang" and (want < spec.tasks or job.placed):
             continue  # whole or not at all
-        chosen = start_now(job, want, there, state, guess) if want else []
+        first_in_line = job.id in inside or spec.workload in state.goals
+        chosen = start_now(job, want, there, state, guess, full, first_in_line) if want else []
         got = sum(count for _, count in chosen)
         for room, count in chosen:
             result.starts.append(Start(job.id, room.machine.id, count))
--- a/coveflow/scene.py
+++ b/coveflow/scene.py
@@ -36,6 +36,13 @@
     ram_gb: float
 
 
+class Asked(NamedTuple):
+    """How much a class asked for lately."""
+
+    spec: Spec  # of its newest job
+    tasks_per_s: float
+
+
 def goals_of(objectives: list[Objective]) -> dict[str, tuple[Goal, ...]]:
     """Goals of the classes whose jobs are to start within some time.
 
@@ -65,6 +72,7 @@
     goals: dict[str, tuple[Goal, ...]] = {}  # by class, for classes that are to start in time
     uses: frozenset[Use] = frozenset()  # of accelerators, by recent jobs
     flavors: list[Flavor] = []  # types of the cloud
+    asked: list[Asked] = []  # by classes that use accelerators
 
 
 def remaining(
@@ -91,6 +99,7 @@
     samples: dict[PoolKey, Machine] = {}
     stopping: set[PoolKey] = set()  # pools where room is on its way
     flavors: list[Flavor] = []
+    coming: dict[PoolKey, float] = {}  # accelerators/s that classes with goals will ask for
     steps: int = 0
 
     def size(self, spec: Spec) -> Size:
@@ -179,9 +188,45 @@
             bucket = math.ceil(left / c.BUCKET_S - EPS)
             room.releases.append((bucket, spec.cpus, spec.ram_gb, spec.accelerators))
         room.releases.sort()
+    _expect(found, state)
     return found
 
 
+def _expect(there: Field, state: State) -> None:
+    """What is still to come: the recent demand for accelerators goes on.
+
+    It is spread over the pools that may serve it. Free accelerators keep the room beside them
+    only as far as waiting and coming work will use them; the others' CPUs serve anyone.
+    """
+    pools = {key: pool for key, pool in there.pools.items() if pool.reserve != (0.0, 0.0)}
+    if not pools:
+        return
+    keep = dict.fromkeys(pools, 0.0)
+    waiting = [
+        (job.spec, job.spec.accelerators * len(job.free))
+        for job in state.jobs
+        if job.spec.accelerators > 0 and job.free and job.cancelled is None
+    ]
+    for spec, amount in waiting:
+        for key, pool in pools.items():
+            if pool.rooms[0].machine.allowed(spec):
+                keep[key] += amount
+    for spec, rate in state.asked:
+        serving = [k for k, pool in pools.items() if pool.rooms[0].machine.allowed(spec)]
+        machines = sum(len(pools[key].rooms) for key in serving)
+        for key in serving:
+            part = rate * spec.accelerators * len(pools[key].rooms) / machines
+            keep[key] += part * c.READY_S
+            if spec.workload in state.goals:
+                there.coming[key] = there.coming.get(key, 0.0) + part
+    for key, pool in pools.items():
+        kept = 0.0
+        for room in sorted(pool.rooms, key=lambda room: (-room.accelerators, -room.cpus)):
+            if kept >= keep[key]:
+                room.reserve = Use(0.0, 0.0)
+            kept += room.accelerators
+
+
 def guaranteed(state: State) -> set[str]:
     """Jobs that fit their team's guarantee together with the team's earlier unfinished jobs.
 
