--- a/coveflow/scene.py
+++ b/coveflow/scene.py
@@ -140,8 +140,12 @@
         if use.cpus * flavor.accelerators <= flavor.cpus + EPS
         and use.ram_gb * flavor.accelerators <= flavor.ram_gb + EPS
     ]
-    if flavor.accelerators <= 0 or not fitting:
+    if flavor.accelerators <= 0:
         return Use(0.0, 0.0)
+    if not fitting:
+        # Nothing is known yet: at the start of a day other work once filled the machines in
+        # the second before the first job that needed them came.
+        return Use(flavor.cpus / flavor.accelerators, flavor.ram_gb / flavor.accelerators)
     return Use(max(use.cpus for use in fitting), max(use.ram_gb for use in fitting))
 
 
@@ -196,7 +200,8 @@
     """What is still to come: the recent demand for accelerators goes on.
 
     It is spread over the pools that may serve it. Free accelerators keep the room beside them
-    only as far as waiting and coming work will use them; the others' CPUs serve anyone.
+    only as far as waiting, coming or guaranteed work will use them; the CPUs of the others
+    serve anyone.
     """
     pools = {key: pool for key, pool in there.pools.items() if pool.reserve != (0.0, 0.0)}
     if not pools:
@@ -219,6 +224,13 @@
             keep[key] += part * c.READY_S
             if spec.workload in state.goals:
                 there.coming[key] = there.coming.get(key, 0.0) + part
+    machines = sum(len(pool.rooms) for pool in pools.values())
+    promised = sum(
+        max(0.0, team.accelerators - state.usage.get(team.name, (0.0, 0.0))[1])
+        for team in state.teams.values()
+    )
+    for key, pool in pools.items():
+        keep[key] += promised * len(pool.rooms) / machines
     for key, pool in pools.items():
         kept = 0.0
         for room in sorted(pool.rooms, key=lambda room: (-room.accelerators, -room.cpus)):
--- a/coveflow/stopping.py
+++ b/coveflow/stopping.py
@@ -9,6 +9,8 @@
 from .settings import Tuning
 from .timeline import EPS, Size, fit, usable
 
+STARTED_S = 35.0  # s; a start that a stop follows within 30 s counts as none
+
 
 def stop_cost(
     job: Job, tuning: Tuning, now: float, arrived: float, goals: tuple[Goal, ...] = ()
@@ -93,6 +95,11 @@
             continue
         if not may_stop(victim, job, is_inside, victim.id in inside, over):
             continue
+        waited = victim.spec.workload in state.goals and victim.spec.deadline_s is None
+        if waited and any(
+            p.since is None or state.now - p.since < STARTED_S for p in victim.placed.values()
+        ):
+            continue  # it would have waited for nothing
         freed = sum(
             count for key, count in there.victims.get(victim.id, {}).items() if key in usable_pools
         )
