--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -6,6 +6,7 @@
 
 from coveflow import constants as c
 from coveflow import owner as o
+from coveflow import placing, planner
 from tests.samples import spec
 from tests.world import Broken, World
 
@@ -13,7 +14,10 @@
     st.tuples(
         st.floats(2.0, 70.0),
         st.sampled_from(
-            ["crash", "crash_all", "take_over", "deaf", "cut_node", "cut_worker", "store", "cancel"]
+            [
+                "crash", "crash_all", "take_over", "deaf", "cut_node", "cut_worker", "store",
+                "cancel", "sick", "vanish",
+            ]
         ),
         st.integers(0, 5),
         st.floats(1.0, 30.0),
@@ -22,7 +26,7 @@
     max_size=6,
 )
 SHAPES = st.lists(
-    st.tuples(st.integers(1, 12), st.sampled_from([1.0, 2.0, 4.0]), st.integers(0, 4)),
+    st.tuples(st.integers(1, 12), st.sampled_from([1.0, 2.0, 4.0]), st.integers(0, 6)),
     min_size=1,
     max_size=5,
 )
@@ -31,6 +35,14 @@
 def add_jobs(world: World, shapes) -> None:
     for i, (tasks, cpus, kind) in enumerate(shapes):
         name = f"j-{i:06d}"
+        if kind >= 5:  # a gang, of whole machines in one zone or of halves anywhere
+            bound = kind == 5
+            gang = spec(
+                name, kind="gang", tasks=min(tasks, 2 if bound else 4), cpus=2.0, one_zone=bound,
+                accelerators=2.0 if bound else 1.0, priority=2, checkpoint_s=5.0, save_s=1.0,
+            )  # fmt: skip
+            world.at(0.5 + i, lambda j=gang: world.submit(j))
+            continue
         job = spec(
             name, tasks=tasks, cpus=cpus, one_zone=kind == 1, spread=kind == 2,
             zone="north" if kind == 3 else None, deadline_s=60.0 if kind == 4 else None,
@@ -63,6 +75,11 @@
                 world.at(3.0, lambda: world.elect(heir))
             elif kind == "cut_worker":
                 workers[index % len(workers)].cut_until = world.now + length
+            elif kind == "sick":
+                workers[index % len(workers)].sick_until = world.now + length
+            elif kind == "vanish":
+                workers[index % len(workers)].alive = False  # and nobody says so
+                workers[index % len(workers)].tasks.clear()
             elif kind == "store":
                 world.store_down_until = world.now + length
             elif kind == "cancel":
@@ -119,6 +136,46 @@
         provoke(30, tamper)
 
 
+def test_the_world_notices_a_gang_that_leaves_its_zone(monkeypatch):
+    def anywhere(options, want, spec, spare):
+        return placing._fill(options, want, spec, spare, {})
+
+    monkeypatch.setattr(placing, "_gang", anywhere)
+    with pytest.raises(Broken, match="wrong_place"):
+        for seed in range(20):
+            world = World(seed)
+            add_jobs(world, [(2, 1.0, 5), (2, 1.0, 5), (4, 1.0, 6)])
+            world.run(40.0)
+
+
+def test_the_world_notices_more_accelerators_than_the_limit(monkeypatch):
+    honest = planner.under_limit
+    monkeypatch.setattr(
+        planner, "under_limit", lambda spec, count, usage, teams: honest(spec, count, {}, teams)
+    )
+    with pytest.raises(Broken, match="accelerators"):
+        for seed in range(10):
+            world = World(seed)
+            add_jobs(world, [(4, 1.0, 6), (4, 1.0, 6), (2, 1.0, 5)])
+            world.run(40.0)
+
+
+def test_mates_of_a_gang_task_whose_machine_is_lost_do_not_wait_for_it():
+    """An end by the machine's lease once left the rest of the gang waiting for its time."""
+    world = World(2)
+    add_jobs(world, [(4, 1.0, 6)])
+    world.run(2.5)
+    leader = world.owners["a"]
+    placed = list(leader.jobs["j-000000"].placed.values())
+    assert len(placed) == 4
+    lost = leader.machines[placed[0].machine]
+    worker = world.workers[lost.id]
+    worker.tasks.clear()
+    worker.tenure += 1
+    world.run(6.0)
+    assert all(p.stopping for p in placed if p.machine != lost.id)
+
+
 def two_leaders(seed: int, tamper_txn) -> None:
     """One node takes over while the old leader has not been told and workers hear either."""
     world = World(seed, machines=6)
--- a/tests/world.py
+++ b/tests/world.py
@@ -25,6 +25,7 @@
 from tests.samples import flavor
 
 LEASE_S, CANCEL_S, REPORT_S = 10.0, 40.0, 1.0
+GANG_WAIT_S, GANG_PEER_S = 20.0, 5.0
 VALUE_KB, TXN_OPS = 8.0, 12
 
 
@@ -44,8 +45,8 @@
                 "zones": ["north", "south"],
                 "teams": teams,
                 "workers": {
-                    "report_s": REPORT_S, "lease_s": LEASE_S, "gang_wait_s": 20.0,
-                    "gang_peer_s": 5.0, "cancel_s": CANCEL_S,
+                    "report_s": REPORT_S, "lease_s": LEASE_S, "gang_wait_s": GANG_WAIT_S,
+                    "gang_peer_s": GANG_PEER_S, "cancel_s": CANCEL_S,
                 },
                 "state": {
                     "rps": 200.0, "write_rps": 100.0, "value_kb": VALUE_KB, "txn_ops": TXN_OPS,
@@ -62,6 +63,7 @@
     changes_at: float
     why: str | None = None
     saved: bool = False
+    lost_at: float | None = None  # gang: when a mate was first missed
 
 
 @dataclass
@@ -77,6 +79,7 @@
     cleared: set[tuple[str, int, int]] = field(default_factory=set)
     alive: bool = True
     cut_until: float = 0.0
+    sick_until: float = 0.0  # it fails every task that it starts
     waiting_for: int = 0
 
 
@@ -90,8 +93,9 @@
         self.store: dict[str, tuple[Any, int]] = {}
         self.rev = self.puts = 0
         self.store_down_until = 0.0
-        self.teams = [{"name": "blue", "cpus_max": 24.0}]
+        self.teams = [{"name": "blue", "cpus_max": 24.0, "gpus": 2.0, "gpus_max": 6.0}]
         self.limits = {"blue": 24.0}
+        self.acc_limits = {"blue": 6.0}
         self.specs: dict[str, Spec] = {}
         self.results: set[tuple[str, int]] = set()
         self.cancelled: dict[str, float] = {}
@@ -106,7 +110,7 @@
             f"n-{i}": Worker(f"n-{i}", "north" if i % 2 else "south") for i in range(machines)
         }
         self.machine_no = machines
-        types = {"types": [msgspec.to_builtins(flavor())]}
+        types = {"types": [msgspec.to_builtins(flavor(accelerators=2.0))]}
         self.write({o.TYPES: types}, {})
         for name in "abc"[:nodes]:
             self.boot(name)
@@ -277,6 +281,7 @@
                 owner.work([o.Tick()])
         for worker in list(self.workers.values()):
             self.advance(worker)
+        self.gangs()
         self.check()
 
     # --- users ---------------------------------------------------------------------------
@@ -384,6 +389,8 @@
                 return
             self.starting(worker, key)
             worker.tasks[key] = Attempt("pulling", self.now + 1.0)
+            if worker.sick_until > self.now:
+                worker.tasks[key] = Attempt("exited", self.now, "error")
         elif order["verb"] == "stop" and attempt is not None and attempt.state != "exited":
             worker.tasks[key] = Attempt("exited", self.now, "halted")
         elif order["verb"] == "clear" and attempt is not None and attempt.state == "exited":
@@ -397,13 +404,41 @@
             worker.tenure += 1
             worker.answered_sent = self.now
         for key, attempt in worker.tasks.items():
+            gang = self.specs[key[0]].kind == "gang"
             if attempt.state == "pulling" and self.now >= attempt.changes_at:
-                attempt.state = "running"
-                attempt.changes_at = self.now + self.random.uniform(2.0, 12.0)
-            elif attempt.state == "running" and self.now >= attempt.changes_at:
+                attempt.state = "waiting" if gang else "running"
+                length = GANG_WAIT_S if gang else self.random.uniform(2.0, 12.0)
+                attempt.changes_at = self.now + length
+            elif attempt.state == "waiting" and self.now >= attempt.changes_at:
+                attempt.state, attempt.why = "exited", "alone"
+            elif not gang and attempt.state == "running" and self.now >= attempt.changes_at:
                 attempt.state, attempt.why = "exited", "done"
                 self.results.add(key[:2])
 
+    def gangs(self) -> None:
+        """Attempts whose tasks all wait start together, and end together."""
+        found: dict[tuple[str, int], list[Attempt]] = {}
+        for worker, key in self.live():
+            if self.specs[key[0]].kind == "gang":
+                found.setdefault((key[0], key[2]), []).append(worker.tasks[key])
+        for (job, _), mates in found.items():
+            whole = len(mates) == self.specs[job].tasks
+            running = [mate for mate in mates if mate.state == "running"]
+            if whole and all(mate.state == "waiting" for mate in mates):
+                end = self.now + self.random.uniform(2.0, 12.0)
+                for mate in mates:
+                    mate.state, mate.changes_at = "running", end
+            elif running and len(running) < self.specs[job].tasks:
+                for mate in running:
+                    if mate.lost_at is None:
+                        mate.lost_at = self.now
+                    if self.now - mate.lost_at > GANG_PEER_S:
+                        mate.state, mate.why = "exited", "mates_gone"
+            elif running and self.now >= running[0].changes_at:
+                for mate in mates:
+                    mate.state, mate.why = "exited", "done"
+                self.results.update((job, task) for task in range(self.specs[job].tasks))
+
     # --- rules ---------------------------------------------------------------------------
 
     def live(self) -> list[tuple[Worker, tuple[str, int, int]]]:
@@ -435,11 +470,16 @@
 
     def check(self) -> None:
         used: dict[str, float] = {}
+        accelerators: dict[str, float] = {}
         for _, key in self.live():
             spec = self.specs[key[0]]
             used[spec.team] = used.get(spec.team, 0.0) + spec.cpus
+            accelerators[spec.team] = accelerators.get(spec.team, 0.0) + spec.accelerators
             if self.now - self.cancelled.get(key[0], self.now) > CANCEL_S:
                 raise Broken(f"ran_cancelled: {key} at {self.now}")
         for team, cpus in used.items():
             if cpus > self.limits[team] + 1e-6:
                 raise Broken(f"quota: {team} uses {cpus}")
+        for team, amount in accelerators.items():
+            if amount > self.acc_limits[team] + 1e-6:
+                raise Broken(f"quota: {team} uses {amount} accelerators")
