--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -115,3 +115,28 @@
     decide(fleet, now=0.0, machines=machines)
     assert len(decide(fleet, now=6.0, machines=machines)[1]) == 3
     assert decide(fleet, now=21.0, machines=machines)[1] == ["n-2", "n-3", "n-4"]
+
+
+def test_machines_that_prompt_work_took_lately_stay_up_while_idle():
+    """The dearest idle machines went back first, and the next gang waited for a boot."""
+    machines = [up(f"n-{i}") for i in range(4)]
+    f = Fleet()
+    job = Job(spec("j-1", tasks=2), 0.0, 1)
+    job.refill()
+    for m in machines[:2]:
+        job.place(m, 0.0)
+
+    def returns(now):
+        return f.decide(now=now, machines=machines, lacks=[], flavors=[], tuning=Tuning(),
+                        settled=True, prompt=lambda name: True)[1]  # fmt: skip
+
+    assert returns(100.0) == []
+    for m in machines[:2]:
+        m.placements.clear()
+        m.cpus = m.flavor.cpus
+    returns(110.0)
+    assert len(returns(200.0)) == 2
+    for m in machines[:2]:
+        m.returning = True
+    returns(400.0)
+    assert len(returns(600.0)) >= 1
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from coveflow import planner, scene
+from coveflow import planner, scene, stopping
 from coveflow.model import Job, Machine
 from coveflow.settings import Team, Tuning
 from tests.samples import flavor, spec
@@ -273,3 +273,60 @@
     gang = job("j-1", tasks=2, one_zone=True, image_gb=5.0, **GANG)
     plan = run(state([gang], a + b), {"j-1": 60.0})
     assert sorted(start.machine for start in plan.starts) == ["b0", "b1"]
+
+
+def test_idle_accelerators_nobody_waits_for_lend_their_cpus():
+    """Kept for nobody, a tenth of the fleet's CPUs once stood idle beside waiting work."""
+    small = job("j-1", tasks=20, cpus=2.0)
+    s = state([small], [vision("a")], now=2.0)
+    s.uses, s.flavors = USES, [flavor("v12", **GPU), flavor("m8")]
+    assert started(run(s, {"j-1": 30.0})) == {"j-1": 6}
+    s = state([job("j-1", tasks=20, cpus=2.0)], [vision("a")], now=2.0,
+              teams={"blue": Team("blue", accelerators=2.0)})  # fmt: skip
+    s.uses, s.flavors = USES, [flavor("v12", **GPU), flavor("m8")]
+    assert started(run(s, {"j-1": 30.0})) == {"j-1": 1}
+
+
+def test_arrays_leave_accelerators_to_the_gangs_that_usually_come():
+    array = job("j-1", tasks=8, cpus=5.0, accelerators=1.0, ram_gb=18.0, deadline_s=400.0,
+                spot=False, workload="clips")  # fmt: skip
+    machines = [vision(f"a{i}") for i in range(4)]
+    s = state([array], machines, now=1.0)
+    s.goals = {"sort": (scene.Goal(25.0, False),)}
+    assert started(run(s, {"j-1": 20.0})) == {"j-1": 8}
+    array = job("j-1", tasks=8, cpus=5.0, accelerators=1.0, ram_gb=18.0, deadline_s=400.0,
+                spot=False, workload="clips")  # fmt: skip
+    s = state([array], [vision(f"a{i}") for i in range(4)], now=1.0)
+    s.goals = {"sort": (scene.Goal(25.0, False),)}
+    s.asked = [scene.Asked(spec("j-0", **GANG), 0.1)]  # 0.2 accelerators a second
+    assert started(run(s, {"j-1": 20.0})) == {"j-1": 4}
+
+
+def test_late_work_is_not_stopped_for_free():
+    """Late deadline jobs cost nothing to stop and were stopped up to nine times."""
+    late = job("j-1", tasks=4, deadline_s=10.0)
+    m = machine("a")
+    for _ in range(4):
+        late.place(m, 0.0).since = 0.0
+    costs = []
+    for late.preempted in range(3):
+        costs.append(stopping.stop_cost(late, TUNING, 50.0, 0.0))
+    assert costs == [4.0, 16.0, 64.0]
+    gang = job("j-2", tasks=1, **GANG)
+    gang.place(vision("b"), 0.0)
+    goals = (scene.Goal(25.0, False),)
+    assert stopping.stop_cost(gang, TUNING, 50.0, 0.0, goals) == TUNING.stop_ratio
+
+
+def test_a_gang_that_began_just_now_is_not_stopped():
+    """Its start would count as none, and the wait before it was for nothing."""
+    teams = {"blue": Team("blue"), "red": Team("red", accelerators=2.0)}
+    guest = job("j-1", tasks=1, **GANG)
+    m = vision("a")
+    guest.place(m, 0.0).since = 0.0
+    guesses = {"j-1": 300.0, "j-2": 100.0}
+    for now, stops in ((20.0, []), (60.0, ["j-1"])):
+        owner = job("j-2", now - 5.0, tasks=1, team="red", **GANG)
+        s = state([guest, owner], [m], now=now, teams=teams, usage={"blue": (10.0, 2.0)})
+        s.goals = {"sort": (scene.Goal(15.0, False),)}
+        assert run(s, guesses).stops == stops
