--- a/coveflow/stopping.py
+++ b/coveflow/stopping.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 
 from .model import Job, Spec
@@ -133,10 +134,12 @@
 def _freed(victim: Spec, count: int, spec: Spec) -> int:
     """Tasks of the waiting job that this many of the victim's make room for, at the most.
 
-    In the resource that binds: by CPUs alone a stop once seemed to free accelerators that the
-    victim never had. A stop of smaller tasks may free room that others share, so at least one.
+    By CPUs alone a stop once seemed to free accelerators that the victim never had. Memory is
+    left out: machines mostly have more than their tasks take, and counted as if it were full
+    it made a stop seem to free less, so that more jobs were stopped than needed. A stop of
+    smaller tasks may free room that others share, so for a gang at least one.
     """
-    room = fit(victim.cpus * count, victim.ram_gb * count, victim.accelerators * count, spec)
+    room = fit(victim.cpus * count, math.inf, victim.accelerators * count, spec)
     if room == 0 and spec.kind == "gang" and count and (
         victim.accelerators > 0 or spec.accelerators <= 0
     ):  # fmt: skip
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -330,3 +330,14 @@
         s = state([guest, owner], [m], now=now, teams=teams, usage={"blue": (10.0, 2.0)})
         s.goals = {"sort": (scene.Goal(15.0, False),)}
         assert run(s, guesses).stops == stops
+
+
+def test_memory_that_nobody_lacks_does_not_make_more_jobs_stop():
+    """Counted as if memory bound, a stop seemed to free half of what it did."""
+    victims = [job(f"j-{i}", tasks=1, cpus=4.0, ram_gb=3.0, priority=0) for i in range(2)]
+    m = machine("a", ram_gb=100.0)
+    for v in victims:
+        v.place(m, 0.0).since = 0.0
+    urgent = job("j-9", tasks=2, cpus=2.0, ram_gb=3.0, deadline_s=40.0)
+    guesses = {"j-0": 100.0, "j-1": 100.0, "j-9": 30.0}
+    assert len(run(state([*victims, urgent], [m], now=5.0), guesses).stops) == 1
