--- a/coveflow/agents.py
+++ b/coveflow/agents.py
@@ -12,9 +12,10 @@
 
 from . import constants as c
 from . import records, wire
+from .commands import MAIL, REPLY, VIEW, Heard, Vouched
 from .model import Order, Report
 from .net import Unavailable
-from .owner import MAIL, REPLY, VIEW, Heard, Owner, Vouched
+from .owner import Owner
 from .peers import RELAY, Peers
 from .settings import Settings
 from .store import Conflict, Store
--- /dev/null
+++ b/coveflow/commands.py
@@ -0,0 +1,153 @@
+"""What goes through the owner's queue, and the names of what the state service keeps."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from . import fleet
+from .model import Flavor, Job, Listed, Machine, Placement, Report, Spec
+from .records import Draft
+
+INBOX = "in/"
+VIEW = "in/view"
+TYPES = "in/types"
+MEMBER = "in/member/"
+JOB = "in/job/"
+MAIL = "in/mail/"  # reports of workers that only a cut-off member hears
+REPLY = "in/reply/"  # the leader's answers to them
+OLD = "old/"
+STATE = "st/"
+SLOT = "st/slot/"
+HISTORY = "st/history"
+# Items within the slots.
+FLOOR = "j/"  # a job's spent attempt numbers
+CHUNK = "d/"  # a job's completed tasks, by chunk
+MACHINE = "m/"  # a machine and the attempts that may be on it
+
+
+class View(msgspec.Struct, eq=False):
+    """Who may give commands; `epoch` is the workers' token."""
+
+    epoch: int = 0
+    leader: str = ""
+    members: list[str] = []
+    rev: int = 0
+
+
+def view_value(view: View) -> dict[str, Any]:
+    """The record of a view."""
+    return {"epoch": view.epoch, "leader": view.leader, "members": view.members}
+
+
+class Accepted(msgspec.Struct, eq=False):
+    spec: Spec
+    at: float
+    rev: int
+    cancelled: float | None
+
+
+class End(msgspec.Struct, eq=False):
+    """The proven end of an attempt whose commit is pending."""
+
+    placement: Placement
+    done: bool
+    at: float
+
+
+class Held(msgspec.Struct, eq=False):
+    """A report whose answer waits for a commit, or for new work."""
+
+    report: Report
+    reply: asyncio.Future[bytes | None]
+    until: float
+    for_commit: bool
+    since: float = 0.0
+
+
+# --- commands --------------------------------------------------------------------------
+
+
+class Heard(msgspec.Struct, eq=False):
+    report: Report
+    reply: asyncio.Future[bytes | None]
+    patient: bool = True  # the answer may wait for new work
+
+
+class InboxRows(msgspec.Struct, eq=False):
+    rows: list[tuple[str, Any, int]]
+    listed: int | None = None  # revision of a full listing; None: these are changes
+    applied: asyncio.Future[None] | None = None
+
+
+class Lead(msgspec.Struct, eq=False):
+    epoch: int
+    rev: int
+    rows: list[tuple[str, Any, int]]
+
+
+class Tick(msgspec.Struct, eq=False):
+    pass
+
+
+class Settled(msgspec.Struct, eq=False):
+    txn: Txn
+    rev: int | None
+    conflict: list[str] | None = None
+
+
+class CloudList(msgspec.Struct, eq=False):
+    rows: list[Listed]
+
+
+class Rented(msgspec.Struct, eq=False):
+    want: fleet.Want
+    machines: list[str]
+
+
+class Refused(msgspec.Struct, eq=False):
+    want: fleet.Want
+
+
+class Returned(msgspec.Struct, eq=False):
+    machines: list[str]
+
+
+class Vouched(msgspec.Struct, eq=False):
+    """Machines that a node out of this one's reach keeps alive."""
+
+    machines: list[str]
+
+
+class Prices(msgspec.Struct, eq=False):
+    flavors: list[Flavor]
+
+
+Command = (
+    Heard
+    | InboxRows
+    | Lead
+    | Tick
+    | Settled
+    | CloudList
+    | Rented
+    | Refused
+    | Returned
+    | Vouched
+    | Prices
+)
+
+
+class Txn(msgspec.Struct, eq=False):
+    guards: dict[str, int]
+    writes: dict[str, Any]
+    draft: Draft | None = None
+    jobs: list[tuple[Job, set[int]]] = []
+    finished: list[Job] = []
+    machines: list[Machine] = []
+    removed: list[Machine] = []
+    placed: list[Placement] = []
+    ends: list[tuple[Machine, End]] = []
+    history: bool = False
--- a/coveflow/front.py
+++ b/coveflow/front.py
@@ -10,6 +10,7 @@
 import msgspec
 from aiohttp import web
 
+from . import commands as cm
 from . import constants as c
 from . import owner as o
 from . import wire
@@ -31,7 +32,7 @@
     """The store's word on what this node knew of a job when it asked."""
 
     same: bool
-    known: o.Accepted | None
+    known: cm.Accepted | None
 
 
 class Front:
@@ -144,7 +145,7 @@
         rev = await future
         if rev is None:
             return False
-        self.owner.put(o.InboxRows([(o.JOB + name, record, rev)]))
+        self.owner.put(cm.InboxRows([(cm.JOB + name, record, rev)]))
         return True
 
     async def _batch(self) -> None:
@@ -161,8 +162,8 @@
                     taken[entry[0]] = entry[1]
                     batch.append(entry)
             self.waiting = later
-            guards = {o.JOB + n: 0 for n in taken} | {o.OLD + n: 0 for n in taken}
-            writes = {o.JOB + n: record for n, record in taken.items()}
+            guards = {cm.JOB + n: 0 for n in taken} | {cm.OLD + n: 0 for n in taken}
+            writes = {cm.JOB + n: record for n, record in taken.items()}
             try:
                 rev = await self.store.sure_commit(guards, writes, self.clock() + SUBMIT_S)
             except Conflict as conflict:
@@ -195,11 +196,11 @@
             # What was compared counts, not what this node knows by now.
             known = checked.known
             return self._state(name, known.cancelled is not None) if known is not None else None
-        value, _ = await self.store.get(o.JOB + name)
+        value, _ = await self.store.get(cm.JOB + name)
         if value is not None:
             return self._state(name, value.get("cancel") is not None)
         # Jobs only ever move from the one key to the other, so this order misses none.
-        value, _ = await self.store.get(o.OLD + name)
+        value, _ = await self.store.get(cm.OLD + name)
         if value is None:
             return None
         self.owner.remember_terminal(name, value["status"], value["done"])
@@ -233,15 +234,15 @@
         while self.asked:
             guards: dict[str, int] = {}
             batch: dict[str, asyncio.Future[Checked]] = {}
-            compared: dict[str, o.Accepted | None] = {}
+            compared: dict[str, cm.Accepted | None] = {}
             for name, future in self.asked.items():
                 if len(guards) + 2 > limit and batch:
                     break
                 known = self.owner.accepted.get(name)
                 if known is not None:
-                    guards[o.JOB + name] = known.rev
+                    guards[cm.JOB + name] = known.rev
                 else:
-                    guards |= {o.JOB + name: 0, o.OLD + name: 0}
+                    guards |= {cm.JOB + name: 0, cm.OLD + name: 0}
                 batch[name], compared[name] = future, known
             for name in batch:
                 del self.asked[name]
@@ -285,7 +286,7 @@
     async def abort(self, name: str) -> web.StreamResponse:
         deadline = self.clock() + SUBMIT_S
         while True:
-            value, rev = await self.store.get(o.JOB + name)
+            value, rev = await self.store.get(cm.JOB + name)
             if value is None:
                 known = await self.status(name)
                 return known or answer(404, wire.error("no such job"))
@@ -293,11 +294,11 @@
                 value = {**value, "cancel": self.wall()}
                 try:
                     rev = await self.store.sure_commit(
-                        {o.JOB + name: rev}, {o.JOB + name: value}, deadline
+                        {cm.JOB + name: rev}, {cm.JOB + name: value}, deadline
                     )
                 except Conflict:
                     continue
-                self.owner.put(o.InboxRows([(o.JOB + name, value, rev)]))
+                self.owner.put(cm.InboxRows([(cm.JOB + name, value, rev)]))
             # Peers must learn of it from this process before its user does.
             self.cancels[name] = self.clock()
             log.info("job %s: cancelled by its user", name)
--- a/coveflow/membership.py
+++ b/coveflow/membership.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from . import commands as cm
 from . import constants as c
 from . import owner as o
 from .net import Unavailable
@@ -36,7 +37,7 @@
 
     async def run_hold(self) -> None:
         """Keep this node's member key alive while it can serve."""
-        key = o.MEMBER + self.settings.name
+        key = cm.MEMBER + self.settings.name
         while True:
             try:
                 if self.isolated():
@@ -76,7 +77,7 @@
                 if self._may_lead():
                     after = await self._take_over()
                 opened = self.clock()
-                after, events, sent = await self.store.watch(o.INBOX, after, c.WATCH_HOLD_S)
+                after, events, sent = await self.store.watch(cm.INBOX, after, c.WATCH_HOLD_S)
                 await self._tell(events, None)
                 self._contact(sent)
                 pause = c.RETRY_S
@@ -91,7 +92,7 @@
 
     async def _list(self) -> int:
         sent = self.clock()
-        rows, rev = await self.store.list(o.INBOX)
+        rows, rev = await self.store.list(cm.INBOX)
         await self._tell(rows, rev)
         self._contact(sent)
         return rev
@@ -104,7 +105,7 @@
         if not rows and listed is None:
             return
         applied = asyncio.get_running_loop().create_future()
-        self.owner.put(o.InboxRows(rows, listed, applied))
+        self.owner.put(cm.InboxRows(rows, listed, applied))
         await applied
 
     # --- leadership --------------------------------------------------------------------
@@ -124,25 +125,25 @@
         """Raise the epoch with this node as leader, then load all from the store."""
         owner, me = self.owner, self.settings.name
         old = owner.view
-        guards = {o.VIEW: old.rev}
+        guards = {cm.VIEW: old.rev}
         if old.leader and old.leader != me:
-            guards[o.MEMBER + old.leader] = 0
+            guards[cm.MEMBER + old.leader] = 0
         epoch = old.epoch + 1
         value = {"epoch": epoch, "leader": me, "members": sorted(owner.members)}
         self.store.set_leading(True)
         try:
-            rev = await self.store.sure_commit(guards, {o.VIEW: value}, self.clock() + 3.0)
+            rev = await self.store.sure_commit(guards, {cm.VIEW: value}, self.clock() + 3.0)
         except (Conflict, Unavailable):
             self.store.set_leading(bool(owner.leading))
             await asyncio.sleep(c.WATCH_PACE_S)
             return await self._list()
         self.retake = False
         log.info("taking over with epoch %d", epoch)
-        await self._tell([(o.VIEW, value, rev)], None)
+        await self._tell([(cm.VIEW, value, rev)], None)
         # Whatever an older leader had under way fails on the view from here on, so what is
         # read now is final but for what users add.
         after = await self._list()
-        rows, _ = await self.store.list(o.STATE)
-        owner.put(o.Lead(epoch, rev, rows))
-        await self._tell([(o.VIEW, value, rev)], None)
+        rows, _ = await self.store.list(cm.STATE)
+        owner.put(cm.Lead(epoch, rev, rows))
+        await self._tell([(cm.VIEW, value, rev)], None)
         return after
--- a/coveflow/node.py
+++ b/coveflow/node.py
@@ -13,6 +13,7 @@
 import msgspec
 from aiohttp import web
 
+from . import commands as cm
 from . import constants as c
 from . import fleet
 from . import owner as o
@@ -94,7 +95,7 @@
             "name": self.settings.name,
             "boot": self.peers.boot,
             "epoch": self.owner.view.epoch,
-            "view": o.view_value(self.owner.view),
+            "view": cm.view_value(self.owner.view),
             "view_rev": self.owner.view.rev,
             "leading": bool(self.owner.leading),
             "store_age": now - self.store.contact,
@@ -106,7 +107,7 @@
     def viewed(self, view: dict[str, Any], rev: int) -> None:
         """A peer's view; a newer one counts as if the store had told it."""
         if rev > self.owner.view.rev:
-            self.owner.put(o.InboxRows([(o.VIEW, view, rev)]))
+            self.owner.put(cm.InboxRows([(cm.VIEW, view, rev)]))
 
     async def relayed(self, body: bytes) -> bytes | None:
         return await self.agents.relayed(body)
@@ -154,15 +155,15 @@
         if not task.cancelled() and task.exception() is not None:
             log.error("task failed", exc_info=task.exception())
 
-    async def _commit(self, txn: o.Txn) -> None:
+    async def _commit(self, txn: cm.Txn) -> None:
         try:
             rev = await self.store.sure_commit(txn.guards, txn.writes)
-            self.owner.put(o.Settled(txn, rev))
+            self.owner.put(cm.Settled(txn, rev))
         except Conflict as conflict:
-            self.owner.put(o.Settled(txn, None, conflict.failed))
+            self.owner.put(cm.Settled(txn, None, conflict.failed))
         except ValueError:
             log.exception("transaction refused")
-            self.owner.put(o.Settled(txn, None, ["refused"]))
+            self.owner.put(cm.Settled(txn, None, ["refused"]))
 
     async def _still_leading(self) -> bool:
         """Whether the store still knows this node as leader, by its own word just now.
@@ -171,7 +172,7 @@
         fleet back because it heard no worker any more.
         """
         try:
-            await self.store.commit({o.VIEW: self.owner.lead_rev}, {})
+            await self.store.commit({cm.VIEW: self.owner.lead_rev}, {})
         except Conflict:
             return False
         return True
@@ -188,10 +189,10 @@
                 machines = await self.cloud.rent(
                     name, want.flavor, want.zone, want.spot, want.count
                 )
-                self.owner.put(o.Rented(want, machines))
+                self.owner.put(cm.Rented(want, machines))
                 return
             except NoCapacity:
-                self.owner.put(o.Refused(want))
+                self.owner.put(cm.Refused(want))
                 return
             except Unavailable as error:
                 log.debug("rent: %s", error)
@@ -205,7 +206,7 @@
                 if not await self._still_leading():
                     return
                 await self.cloud.give_back(machines)
-                self.owner.put(o.Returned(machines))
+                self.owner.put(cm.Returned(machines))
                 return
             except Unavailable as error:
                 log.debug("return: %s", error)
@@ -219,10 +220,10 @@
             except Unavailable:
                 continue  # the next conflict asks again
             if value is None:
-                self.owner.put(o.Settled(o.Txn({}, {}), None))
+                self.owner.put(cm.Settled(cm.Txn({}, {}), None))
                 self.membership.retake = True
             else:
-                self.owner.put(o.InboxRows([(key, value, rev)]))
+                self.owner.put(cm.InboxRows([(key, value, rev)]))
 
     # --- loops -------------------------------------------------------------------------
 
@@ -242,7 +243,7 @@
                 told = now
             if now - ticked >= TICK_S:
                 ticked = now
-                self.owner.put(o.Tick())
+                self.owner.put(cm.Tick())
             elif self.owner.leading:
                 self.owner.work([])
 
@@ -254,11 +255,11 @@
                     flavors = await self.cloud.flavors()
                     value = {"types": [msgspec.to_builtins(f) for f in flavors]}
                     rev = await self.store.sure_commit(
-                        {o.TYPES: 0}, {o.TYPES: value}, self.clock() + 3.0
+                        {cm.TYPES: 0}, {cm.TYPES: value}, self.clock() + 3.0
                     )
-                    self.owner.put(o.InboxRows([(o.TYPES, value, rev)]))
+                    self.owner.put(cm.InboxRows([(cm.TYPES, value, rev)]))
                 elif self.owner.leading:
-                    self.owner.put(o.Prices(await self.cloud.flavors()))
+                    self.owner.put(cm.Prices(await self.cloud.flavors()))
                     await asyncio.sleep(PRICES_S)
             except (Unavailable, Conflict) as error:
                 log.debug("types: %s", error)
@@ -270,7 +271,7 @@
             if not self.owner.leading:
                 continue
             try:
-                self.owner.put(o.CloudList(await self.cloud.machines()))
+                self.owner.put(cm.CloudList(await self.cloud.machines()))
             except Unavailable as error:
                 log.debug("machine list: %s", error)
 
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -6,6 +6,7 @@
 import cbor2
 import pytest
 
+from coveflow import commands as cm
 from coveflow import owner as o
 from coveflow.agents import Agents
 from coveflow.model import Machine
@@ -28,7 +29,7 @@
 
     async def commit(self, guards, writes):
         ((key, value),) = writes.items()
-        assert key == o.MAIL + "b" and value["reports"]["n-1"][5] == 7
+        assert key == cm.MAIL + "b" and value["reports"]["n-1"][5] == 7
         self.agents.replied(self.answer(value))
         return 1
 
@@ -36,7 +37,7 @@
 def follower(answer, clock=lambda: 100.0):
     settings = node_settings("b", [])
     owner = o.Owner(settings, o.Tuning(), clock, clock)
-    owner.view = o.View(3, "a", ["a", "b"], 1)
+    owner.view = cm.View(3, "a", ["a", "b"], 1)
     store = Mailbox(answer)
     peers = Peers(settings, None, clock, dict, None)
     store.agents = Agents(settings, owner, peers, clock, lambda: 100.0, store)
@@ -84,17 +85,17 @@
     """Its workers stayed with it, and the new leader returned all of them as silent."""
     settings = node_settings("a", [])
     owner = o.Owner(settings, o.Tuning(), lambda: 9.0, lambda: 9.0)
-    old = o.View(3, "a", ["a", "b"], 7)
-    owner.work([o.InboxRows([(o.VIEW, o.view_value(old), 7)], listed=7), o.Lead(3, 7, [])])
+    old = cm.View(3, "a", ["a", "b"], 7)
+    owner.work([cm.InboxRows([(cm.VIEW, cm.view_value(old), 7)], listed=7), cm.Lead(3, 7, [])])
     assert owner.leading == 3
     rows = []
     peers = Peers(settings, None, lambda: 9.0, dict, None, lambda *row: rows.append(row))
     peer = SimpleNamespace(answered=0.0)
     word = {"boot": "x", "epoch": 4, "leading": True, "store_age": 0.1}
     word |= {"hears": {}, "counts": {}, "cancels": []}
-    word |= {"view": o.view_value(o.View(4, "b", ["b"], 12)), "view_rev": 12}
+    word |= {"view": cm.view_value(cm.View(4, "b", ["b"], 12)), "view_rev": 12}
     peers._heard(peer, word, 8.9)
-    owner.work([o.InboxRows([(o.VIEW, *row)]) for row in rows])
+    owner.work([cm.InboxRows([(cm.VIEW, *row)]) for row in rows])
     assert owner.leading == 0 and (owner.view.epoch, owner.view.leader) == (4, "b")
 
 
@@ -119,14 +120,14 @@
     owner.peers_known = lambda: False
     for t in range(1, 60):
         now.t = float(t)
-        owner.work([o.Tick()])
+        owner.work([cm.Tick()])
     early = LEASE_S + 2.0
     assert not [r for r in returned if r[1] == "return" and r[0] <= early]
     assert [r[2] for r in returned if r[1] == "return"] == [["n-1"]]
     m.returning, returned[:], now.t = False, [], 0.0
     owner.peers_known = lambda: True
     now.t = early + 1.0
-    owner.work([o.Tick()])
+    owner.work([cm.Tick()])
     assert [r[2] for r in returned if r[1] == "return"] == [["n-1"]]
 
 
@@ -160,9 +161,9 @@
     returned = []
     owner.on_effects = lambda kind, data: returned.append(data)
     now.t = 10.0
-    owner.work([o.Vouched(["n-1"])])
+    owner.work([cm.Vouched(["n-1"])])
     now.t = LEASE_S + 2.0
-    owner.work([o.Tick()])
+    owner.work([cm.Tick()])
     assert returned == [["n-2"]]
 
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from coveflow import commands as cm
 from coveflow import constants as c
 from coveflow import owner as o
 from coveflow.front import Front
@@ -54,8 +55,8 @@
 def know(f: Front, name: str, told: bool = True, cancel: float | None = None) -> None:
     """The store holds the job; this node may have been told of an older state."""
     record = {"spec": msgspec.to_builtins(spec(name)), "at": 0.0, "cancel": cancel}
-    f.store.keys[o.JOB + name] = (record, 5)
-    f.owner.work([o.InboxRows([(o.JOB + name, {**record, "cancel": None}, 5 if told else 4)])])
+    f.store.keys[cm.JOB + name] = (record, 5)
+    f.owner.work([cm.InboxRows([(cm.JOB + name, {**record, "cancel": None}, 5 if told else 4)])])
 
 
 def polls(f: Front, names: list[str]) -> list[str]:
@@ -93,7 +94,7 @@
     f = front()
     know(f, "j-1")
     know(f, "j-2", told=False, cancel=3.0)  # cancelled through another node
-    f.store.keys[o.OLD + "j-3"] = ({"status": "done", "done": 4}, 7)
+    f.store.keys[cm.OLD + "j-3"] = ({"status": "done", "done": 4}, 7)
     assert polls(f, ["j-1", "j-2", "j-3", "j-4"]) == ["queued", "cancelled", "done", "404"]
     f.store.down = True
     assert polls(f, ["j-1", "j-3", "j-4"]) == ["503", "done", "503"]
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -4,6 +4,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from coveflow import commands as cm
 from coveflow import constants as c
 from coveflow import owner as o
 from coveflow import placing, planner
@@ -206,7 +207,7 @@
     """Two writers take the same oldest slot, so its revision alone would stop most of them."""
 
     def unguarded(txn):
-        for key in [k for k in txn.guards if k == o.VIEW or k.startswith(o.SLOT)]:
+        for key in [k for k in txn.guards if k == cm.VIEW or k.startswith(cm.SLOT)]:
             del txn.guards[key]
 
     with pytest.raises(Broken):
@@ -227,7 +228,7 @@
 
         owner._orders = hasty
         owner._answer_or_hold = lambda m, report, reply, *_: owner._answer(
-            m, o.Held(report, reply, 0.0, False)
+            m, cm.Held(report, reply, 0.0, False)
         )
 
     with pytest.raises(Broken, match="run after clear"):
@@ -240,9 +241,9 @@
     add_jobs(world, [(6, 1.0, 0)])
     world.run(4.0)
     for key, (value, rev) in list(world.store.items()):
-        if key.startswith(o.SLOT):
+        if key.startswith(cm.SLOT):
             items = {
-                item: [*state[:2], "?", *state[3:]] if item.startswith(o.MACHINE) else state
+                item: [*state[:2], "?", *state[3:]] if item.startswith(cm.MACHINE) else state
                 for item, state in value["items"].items()
             }
             world.store[key] = ({**value, "items": items}, rev)
@@ -256,7 +257,7 @@
     world.run(2.0)
     leader = world.owners["a"]
     epoch = leader.leading
-    leader.work([o.CloudList([None])])
+    leader.work([cm.CloudList([None])])
     assert leader.leading == 0
     world.run(60.0)
     assert leader.leading > epoch and world.told
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,6 +19,7 @@
 import cbor2
 import msgspec
 
+from coveflow import commands as cm
 from coveflow import owner as o
 from coveflow import settings as s
 from coveflow.model import Report, Spec, TaskReport
@@ -105,13 +106,13 @@
         self.cut_nodes: dict[str, float] = {}
         self.deaf: dict[str, float] = {}  # nodes whose watch is late, though they can write
         self.tamper: Callable[[World, str, o.Owner], None] = lambda world, name, owner: None
-        self.tamper_txn: Callable[[o.Txn], None] = lambda txn: None
+        self.tamper_txn: Callable[[cm.Txn], None] = lambda txn: None
         self.workers = {
             f"n-{i}": Worker(f"n-{i}", "north" if i % 2 else "south") for i in range(machines)
         }
         self.machine_no = machines
         types = {"types": [msgspec.to_builtins(flavor(accelerators=2.0))]}
-        self.write({o.TYPES: types}, {})
+        self.write({cm.TYPES: types}, {})
         for name in "abc"[:nodes]:
             self.boot(name)
         self.elect("a")
@@ -158,9 +159,9 @@
                 self.store.pop(key, None)
             else:
                 self.store[key] = (cbor2.loads(cbor2.dumps(value)), self.rev)
-                if key.startswith(o.OLD):
-                    self.final(key[len(o.OLD) :], value["status"])
-            if key.startswith(o.INBOX):
+                if key.startswith(cm.OLD):
+                    self.final(key[len(cm.OLD) :], value["status"])
+            if key.startswith(cm.INBOX):
                 changed.append((key, copy.deepcopy(value), self.rev))
         if changed:
             for name in self.owners:
@@ -175,7 +176,7 @@
             return
         owner = self.owners.get(name)
         if owner is not None:
-            owner.work([o.InboxRows(copy.deepcopy(rows))])
+            owner.work([cm.InboxRows(copy.deepcopy(rows))])
 
     def final(self, job: str, status: str) -> None:
         if self.told.get(job, status) != status:
@@ -195,7 +196,7 @@
         owner.on_effects = lambda kind, data: self.effect(name, owner, kind, data)
         self.owners[name] = owner
         self.tamper(self, name, owner)
-        owner.work([o.InboxRows(self.rows(o.INBOX), listed=self.rev)])
+        owner.work([cm.InboxRows(self.rows(cm.INBOX), listed=self.rev)])
 
     def rows(self, prefix: str) -> list[tuple[str, Any, int]]:
         return [
@@ -209,13 +210,13 @@
         owner = self.owners.get(name)
         if owner is None or self.store_down_until > self.now:
             return
-        value, rev = self.store.get(o.VIEW, ({"epoch": 0}, 0))
+        value, rev = self.store.get(cm.VIEW, ({"epoch": 0}, 0))
         new = {"epoch": value["epoch"] + 1, "leader": name, "members": [name]}
-        done = self.write({o.VIEW: new}, {o.VIEW: rev})
+        done = self.write({cm.VIEW: new}, {cm.VIEW: rev})
         assert isinstance(done, int)
         owner.work([
-            o.InboxRows(self.rows(o.INBOX), listed=self.rev),
-            o.Lead(new["epoch"], done, self.rows(o.STATE)),
+            cm.InboxRows(self.rows(cm.INBOX), listed=self.rev),
+            cm.Lead(new["epoch"], done, self.rows(cm.STATE)),
         ])  # fmt: skip
 
     def crash(self, name: str, back_s: float = 8.0) -> None:
@@ -230,14 +231,14 @@
             epoch = owner.leading
             self.at(0.2, lambda: self.give_back(name, owner, list(data), epoch))
         elif kind == "rent":
-            self.at(0.2, lambda: owner.work([o.Refused(data)]))
+            self.at(0.2, lambda: owner.work([cm.Refused(data)]))
         elif kind == "retake":
             self.at(0.5, lambda: self.elect(name))
         elif kind == "reread":
             rows = [(k, *self.store[k]) for k in data if k in self.store]
-            owner.work([o.InboxRows(copy.deepcopy(rows))])
+            owner.work([cm.InboxRows(copy.deepcopy(rows))])
 
-    def commit(self, name: str, owner: o.Owner, txn: o.Txn, writes: dict[str, Any]) -> None:
+    def commit(self, name: str, owner: o.Owner, txn: cm.Txn, writes: dict[str, Any]) -> None:
         """As `Store.sure_commit`: at most once, however often it is sent."""
         if self.store_down_until > self.now or self.cut_nodes.get(name, 0.0) > self.now:
             # Held back: it may be applied long after its sender is gone.
@@ -252,9 +253,9 @@
         def settle() -> None:
             if self.owners.get(name) is owner:
                 if isinstance(outcome, int):
-                    owner.work([o.Settled(txn, outcome)])
+                    owner.work([cm.Settled(txn, outcome)])
                 else:
-                    owner.work([o.Settled(txn, None, outcome)])
+                    owner.work([cm.Settled(txn, None, outcome)])
 
         self.at(self.latency(), settle)
 
@@ -263,7 +264,7 @@
         if self.owners.get(name) is not owner or self.cut_nodes.get(name, 0.0) > self.now:
             return
         # The real node asks the store with a transaction that only compares.
-        if self.store[o.VIEW][0]["epoch"] != epoch:
+        if self.store[cm.VIEW][0]["epoch"] != epoch:
             return
         for machine in machines:
             worker = self.workers.pop(machine, None)
@@ -273,12 +274,12 @@
                 fresh = Worker(f"n-{self.machine_no}", worker.zone, answered_sent=self.now + 3)
                 self.workers[fresh.name] = fresh
                 self.at(3.0, lambda w=fresh: self.report(w))
-        self.at(0.1, lambda: owner.work([o.Returned(machines)]))
+        self.at(0.1, lambda: owner.work([cm.Returned(machines)]))
 
     def step(self) -> None:
         for owner in self.owners.values():
             if owner is not None:
-                owner.work([o.Tick()])
+                owner.work([cm.Tick()])
         for worker in list(self.workers.values()):
             self.advance(worker)
         self.gangs()
@@ -289,12 +290,12 @@
     def submit(self, spec: Spec) -> None:
         self.specs[spec.id] = spec
         record = {"spec": msgspec.to_builtins(spec), "at": self.now}
-        self.write({o.JOB + spec.id: record}, {o.JOB + spec.id: 0, o.OLD + spec.id: 0})
+        self.write({cm.JOB + spec.id: record}, {cm.JOB + spec.id: 0, cm.OLD + spec.id: 0})
 
     def cancel(self, job: str) -> None:
-        value, rev = self.store.get(o.JOB + job, (None, 0))
+        value, rev = self.store.get(cm.JOB + job, (None, 0))
         if value is not None and value.get("cancel") is None:
-            self.write({o.JOB + job: {**value, "cancel": self.now}}, {o.JOB + job: rev})
+            self.write({cm.JOB + job: {**value, "cancel": self.now}}, {cm.JOB + job: rev})
             self.cancelled[job] = self.now
             self.told[job] = "cancelled"
 
@@ -341,7 +342,7 @@
             self.at(0.02, lambda: self.redirected(worker, report.counter, leader))
             return
         reply: asyncio.Future[bytes | None] = self.loop.create_future()
-        owner.work([o.Heard(report, reply)])
+        owner.work([cm.Heard(report, reply)])
         self.poll(worker, report, sent, reply)
 
     def poll(self, worker: Worker, report: Report, sent: float, reply: asyncio.Future) -> None:
