--- a/coveflow/placing.py
+++ b/coveflow/placing.py
@@ -35,21 +35,27 @@
             continue
         if state.now + guess > there.claims.get((key, size[2] > 0), math.inf):
             continue
-        leave = 0.0 if first else there.coming.get(key, 0.0) / max(spec.accelerators, EPS)
-        if pool.holds or (leave and full):
+        leave = owed = 0.0
+        if not first and spec.accelerators > 0:
+            leave = there.coming.get(key, 0.0) / spec.accelerators
+            others = sum(there.unused.values()) - there.unused.get(spec.team, 0.0)
+            owed = others * there.share.get(key, 0.0) / spec.accelerators
+        if pool.holds or ((leave or owed) and full):
             there.steps += pool.buckets
             low, high = pool.span(state.now, state.now + guess)
             spare[key] = min(pool.available(size)[low:high])
-            if leave:
+            if leave or owed:
+                # What another team is guaranteed stays free for it, as stopping a whole array
+                # comes too late.
                 # Work that is to start promptly will come: what others take must be free again
                 # by then, or be more than that.
                 spare[key] = min(
-                    math.floor(have - leave * i * BUCKET_S)
+                    math.floor(have - owed - leave * i * BUCKET_S)
                     for i, have in enumerate(pool.available(size)[low:high])
                 )
-        elif leave:
+        elif leave or owed:
             free = sum(room.fit(size) for room in pool.rooms)
-            spare[key] = math.floor(free - leave * READY_S)
+            spare[key] = math.floor(free - owed - leave * READY_S)
         if spare.get(key, 1) <= 0:
             continue
         _options(job, size, pool.rooms, tight, guess, options)
--- a/coveflow/scene.py
+++ b/coveflow/scene.py
@@ -100,6 +100,8 @@
     stopping: set[PoolKey] = set()  # pools where room is on its way
     flavors: list[Flavor] = []
     coming: dict[PoolKey, float] = {}  # accelerators/s that classes with goals will ask for
+    unused: dict[str, float] = {}  # guaranteed accelerators that a team does not use
+    share: dict[PoolKey, float] = {}  # of the machines that have any
     steps: int = 0
 
     def size(self, spec: Spec) -> Size:
@@ -225,12 +227,13 @@
             if spec.workload in state.goals:
                 there.coming[key] = there.coming.get(key, 0.0) + part
     machines = sum(len(pool.rooms) for pool in pools.values())
-    promised = sum(
-        max(0.0, team.accelerators - state.usage.get(team.name, (0.0, 0.0))[1])
+    there.unused = {
+        team.name: max(0.0, team.accelerators - state.usage.get(team.name, (0.0, 0.0))[1])
         for team in state.teams.values()
-    )
+    }
     for key, pool in pools.items():
-        keep[key] += promised * len(pool.rooms) / machines
+        there.share[key] = len(pool.rooms) / machines
+        keep[key] += sum(there.unused.values()) * there.share[key]
     for key, pool in pools.items():
         kept = 0.0
         for room in sorted(pool.rooms, key=lambda room: (-room.accelerators, -room.cpus)):
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -341,3 +341,15 @@
     urgent = job("j-9", tasks=2, cpus=2.0, ram_gb=3.0, deadline_s=40.0)
     guesses = {"j-0": 100.0, "j-1": 100.0, "j-9": 30.0}
     assert len(run(state([*victims, urgent], [m], now=5.0), guesses).stops) == 1
+
+
+def test_arrays_leave_what_another_team_is_guaranteed_and_does_not_use():
+    """An array took all accelerators in the second before the guaranteed gangs came."""
+    teams = {"blue": Team("blue", accelerators=2.0), "red": Team("red", accelerators=4.0)}
+    array = job("j-1", tasks=8, cpus=5.0, accelerators=1.0, ram_gb=18.0, deadline_s=400.0)
+    s = state([array], [vision(f"a{i}") for i in range(4)], now=1.0, teams=teams)
+    assert started(run(s, {"j-1": 20.0})) == {"j-1": 4}
+    gang = job("j-2", tasks=4, **GANG)  # one that is to start promptly may borrow it
+    s = state([gang], [vision(f"a{i}") for i in range(4)], now=1.0, teams=teams)
+    s.goals = {"sort": (scene.Goal(25.0, False),)}
+    assert started(run(s, {"j-2": 20.0})) == {"j-2": 4}
