--- a/coveflow/owner.py
+++ b/coveflow/owner.py
@@ -570,7 +570,9 @@
             log.warning("machine %s: tasks of %d jobs failed", m.id, len(m.failed_jobs))
         blamed = self.machines
         sound = [name for name in job.bad_machines if name in blamed and not blamed[name].suspect]
-        if len(sound) >= c.ERROR_MACHINES and not job.done:
+        if job.done or now < job.not_before:
+            return  # tasks that failed together count once
+        if job.errors or len(sound) >= c.ERROR_MACHINES:
             job.errors += 1
             job.not_before = now + min(
                 c.ERROR_BACKOFF_S * 2 ** min(job.errors, 10), c.ERROR_BACKOFF_MAX_S
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -177,6 +177,32 @@
     assert all(p.stopping for p in placed if p.machine != lost.id)
 
 
+def test_a_machine_that_fails_every_task_is_blamed_and_its_jobs_go_on():
+    """Always free again, it drew all work to it, and the jobs paused for up to a minute."""
+    world = World(5)
+    add_jobs(world, [(12, 1.0, 0), (12, 1.0, 0)])
+    world.workers["n-0"].sick_until = 1000.0
+    world.run(60.0)
+    leader = world.owners["a"]
+    assert set(world.told) == set(world.specs)
+    assert "n-0" not in world.workers  # it went back
+    assert not any(m.suspect for m in leader.machines.values())
+
+
+def test_a_job_that_fails_everywhere_is_blamed_and_not_the_machines():
+    """Paused longer each time, it must neither cost the fleet nor keep others waiting."""
+    world = World(6)
+    add_jobs(world, [(6, 1.0, 0)])
+    for worker in world.workers.values():
+        worker.sick_until = 20.0
+    world.run(20.0)
+    job = world.owners["a"].jobs["j-000000"]
+    assert job.errors and job.not_before > 15.0
+    assert len(world.owners["a"].machines) >= 3
+    world.run(200.0)
+    assert world.told == {"j-000000": "done"}
+
+
 def two_leaders(seed: int, tamper_txn) -> None:
     """One node takes over while the old leader has not been told and workers hear either."""
     world = World(seed, machines=6)
