Move the modules into layers: core, net, state, daemon; behaviour unchanged

Change: only moves and import lines. core holds the pure decisions, net the clients and meters, state the records and the state service's client, daemon what makes one controller. Logger names stay.

--- a/coveflow/cli.py
+++ b/coveflow/cli.py
@@ -9,7 +9,7 @@
 import sys
 from pathlib import Path
 
-from . import __version__
+from coveflow import __version__
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -35,7 +35,7 @@
 def main(argv: list[str] | None = None) -> int:
     p = parser()
     args = p.parse_args(argv)
-    from . import settings as s
+    from coveflow import settings as s
 
     try:
         if args.command == "check":
@@ -62,7 +62,7 @@
         format="%(asctime)s %(levelname)s %(name)s %(message)s",
     )
     logging.getLogger("asyncio").setLevel(logging.WARNING)
-    from .node import Node
+    from coveflow.daemon.node import Node
 
     async def serve() -> None:
         await Node(settings, tuning).run()
--- a/coveflow/demand.py
+++ b/coveflow/core/demand.py
@@ -5,9 +5,9 @@
 import statistics
 from collections import deque
 
-from . import constants as c
-from .model import Spec
-from .scene import Asked
+from coveflow import constants as c
+from coveflow.core.model import Spec
+from coveflow.core.scene import Asked
 
 
 class Demand:
--- a/coveflow/estimates.py
+++ b/coveflow/core/estimates.py
@@ -13,8 +13,8 @@
 from collections.abc import Iterable
 from typing import Any
 
-from . import constants as c
-from .model import Spec
+from coveflow import constants as c
+from coveflow.core.model import Spec
 
 ALL = "all"
 RATIO = "ratio:"  # histories of runtime over the owner's own estimate
--- a/coveflow/fleet.py
+++ b/coveflow/core/fleet.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
-from . import constants as c
-from .model import Flavor, Listed, Machine, Placement, Spec
-from .planner import Lack
-from .scene import elsewhere
-from .settings import Tuning
-from .timeline import EPS, fit
+from coveflow import constants as c
+from coveflow.core.model import Flavor, Listed, Machine, Placement, Spec
+from coveflow.core.planner import Lack
+from coveflow.core.scene import elsewhere
+from coveflow.core.timeline import EPS, fit
+from coveflow.settings import Tuning
 
 BEST_EFFORT_S = 8.0  # s a best-effort job waits for room before a machine is rented for it
 DRAIN_USED = 0.5  # part of a machine's CPUs in use up to which moving its tasks may pay
--- a/coveflow/model.py
+++ b/coveflow/core/model.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from . import constants as c
+from coveflow import constants as c
 
 
 class Spec(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/coveflow/placing.py
+++ b/coveflow/core/placing.py
@@ -5,11 +5,11 @@
 import math
 from collections.abc import Iterable
 
-from .constants import BUCKET_S, READY_S
-from .model import Job, Spec
-from .scene import Field, PoolKey, State, pool_key
-from .settings import Tuning
-from .timeline import EPS, Hold, Pool, Room, Size, plan_gang, plan_starts
+from coveflow.constants import BUCKET_S, READY_S
+from coveflow.core.model import Job, Spec
+from coveflow.core.scene import Field, PoolKey, State, pool_key
+from coveflow.core.timeline import EPS, Hold, Pool, Room, Size, plan_gang, plan_starts
+from coveflow.settings import Tuning
 
 SLACK = 0.8  # part of a guess that a planned end must keep before the deadline
 DELAY_STEP_S = 3.0  # s of fetching or slowness that count as no difference
--- a/coveflow/planner.py
+++ b/coveflow/core/planner.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from .model import Job, Spec
-from .placing import SLACK, hold, start_now
-from .scene import (
+from coveflow.core.model import Job, Spec
+from coveflow.core.placing import SLACK, hold, start_now
+from coveflow.core.scene import (
     PoolKey,
     State,
     guaranteed,
@@ -21,9 +21,9 @@
     survey,
     value,
 )
-from .settings import Team, Tuning
-from .stopping import stops
-from .timeline import EPS, Hold
+from coveflow.core.stopping import stops
+from coveflow.core.timeline import EPS, Hold
+from coveflow.settings import Team, Tuning
 
 
 class Start(msgspec.Struct, eq=False):
--- a/coveflow/scene.py
+++ b/coveflow/core/scene.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from . import constants as c
-from .model import Flavor, Job, Machine, Spec
-from .settings import Objective, Team, Tuning
-from .timeline import EPS, Pool, Room, Size, fit_size, size_of
+from coveflow import constants as c
+from coveflow.core.model import Flavor, Job, Machine, Spec
+from coveflow.core.timeline import EPS, Pool, Room, Size, fit_size, size_of
+from coveflow.settings import Objective, Team, Tuning
 
 TIGHT = 0.25  # free part of the fleet's CPUs below which it counts as full
 
--- a/coveflow/stopping.py
+++ b/coveflow/core/stopping.py
@@ -5,10 +5,10 @@
 import math
 from collections import Counter
 
-from .model import Job, Spec
-from .scene import Field, Goal, PoolKey, State, pool_key, worth
-from .settings import Tuning
-from .timeline import EPS, Size, fit, usable
+from coveflow.core.model import Job, Spec
+from coveflow.core.scene import Field, Goal, PoolKey, State, pool_key, worth
+from coveflow.core.timeline import EPS, Size, fit, usable
+from coveflow.settings import Tuning
 
 STARTED_S = 35.0  # s; a start that a stop follows within 30 s counts as none
 
--- a/coveflow/timeline.py
+++ b/coveflow/core/timeline.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
-from . import constants as c
-from .model import Machine, Spec
+from coveflow import constants as c
+from coveflow.core.model import Machine, Spec
 
 EPS = 1e-6
 TRACE = 1e-9  # accelerators; an amount that bounds nothing
--- a/coveflow/agents.py
+++ b/coveflow/daemon/agents.py
@@ -10,15 +10,16 @@
 import msgspec
 from aiohttp import web
 
-from . import constants as c
-from . import records, wire
-from .commands import MAIL, REPLY, VIEW, Heard, Vouched
-from .model import Order, Report
-from .net import Unavailable
-from .owner import Owner
-from .peers import RELAY, Peers
-from .settings import Settings
-from .store import Conflict, Store
+from coveflow import constants as c
+from coveflow import wire
+from coveflow.core.model import Order, Report
+from coveflow.daemon.commands import MAIL, REPLY, VIEW, Heard, Vouched
+from coveflow.daemon.owner import Owner
+from coveflow.daemon.peers import RELAY, Peers
+from coveflow.net.http import Unavailable
+from coveflow.settings import Settings
+from coveflow.state import records
+from coveflow.state.store import Conflict, Store
 
 log = logging.getLogger("coveflow.agents")
 
--- a/coveflow/commands.py
+++ b/coveflow/daemon/commands.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from . import fleet
-from .model import Flavor, Job, Listed, Machine, Placement, Report, Spec
-from .records import Draft
+from coveflow.core import fleet
+from coveflow.core.model import Flavor, Job, Listed, Machine, Placement, Report, Spec
+from coveflow.state.records import Draft
 
 INBOX = "in/"
 VIEW = "in/view"
--- a/coveflow/front.py
+++ b/coveflow/daemon/front.py
@@ -10,15 +10,15 @@
 import msgspec
 from aiohttp import web
 
-from . import commands as cm
-from . import constants as c
-from . import owner as o
-from . import wire
-from .model import Spec, placeable
-from .net import Unavailable
-from .peers import Peers
-from .settings import Settings
-from .store import Conflict, Store
+from coveflow import constants as c
+from coveflow import wire
+from coveflow.core.model import Spec, placeable
+from coveflow.daemon import commands as cm
+from coveflow.daemon import owner as o
+from coveflow.daemon.peers import Peers
+from coveflow.net.http import Unavailable
+from coveflow.settings import Settings
+from coveflow.state.store import Conflict, Store
 
 log = logging.getLogger("coveflow.front")
 
--- a/coveflow/membership.py
+++ b/coveflow/daemon/membership.py
@@ -7,12 +7,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from . import commands as cm
-from . import constants as c
-from . import owner as o
-from .net import Unavailable
-from .settings import Settings
-from .store import Conflict, Expired, Store, TooOld
+from coveflow import constants as c
+from coveflow.daemon import commands as cm
+from coveflow.daemon import owner as o
+from coveflow.net.http import Unavailable
+from coveflow.settings import Settings
+from coveflow.state.store import Conflict, Expired, Store, TooOld
 
 log = logging.getLogger("coveflow.membership")
 
--- a/coveflow/node.py
+++ b/coveflow/daemon/node.py
@@ -13,18 +13,18 @@
 import msgspec
 from aiohttp import web
 
-from . import commands as cm
-from . import constants as c
-from . import fleet
-from . import owner as o
-from .agents import Agents
-from .cloud import Cloud, NoCapacity
-from .front import Front
-from .membership import Membership
-from .net import Unavailable
-from .peers import Peers
-from .settings import Settings, Tuning, address
-from .store import Conflict, Store
+from coveflow import constants as c
+from coveflow.core import fleet
+from coveflow.daemon import commands as cm
+from coveflow.daemon import owner as o
+from coveflow.daemon.agents import Agents
+from coveflow.daemon.front import Front
+from coveflow.daemon.membership import Membership
+from coveflow.daemon.peers import Peers
+from coveflow.net.cloud import Cloud, NoCapacity
+from coveflow.net.http import Unavailable
+from coveflow.settings import Settings, Tuning, address
+from coveflow.state.store import Conflict, Store
 
 log = logging.getLogger("coveflow.node")
 
--- a/coveflow/owner.py
+++ b/coveflow/daemon/owner.py
@@ -18,9 +18,22 @@
 
 import msgspec
 
-from . import constants as c
-from . import demand, fleet, planner, scene, wire
-from .commands import (
+from coveflow import constants as c
+from coveflow import wire
+from coveflow.core import demand, fleet, planner, scene
+from coveflow.core.estimates import Predictor
+from coveflow.core.model import (
+    Flavor,
+    Job,
+    Listed,
+    Machine,
+    Order,
+    Placement,
+    Report,
+    Spec,
+    unranges,
+)
+from coveflow.daemon.commands import (
     CHUNK,
     FLOOR,
     HISTORY,
@@ -51,21 +64,9 @@
     View,
     Vouched,
 )
-from .estimates import Predictor
-from .meters import Meters
-from .model import (
-    Flavor,
-    Job,
-    Listed,
-    Machine,
-    Order,
-    Placement,
-    Report,
-    Spec,
-    unranges,
-)
-from .records import Records, Unreadable
-from .settings import Settings, Tuning
+from coveflow.net.meters import Meters
+from coveflow.settings import Settings, Tuning
+from coveflow.state.records import Records, Unreadable
 
 log = logging.getLogger("coveflow.owner")
 
--- a/coveflow/peers.py
+++ b/coveflow/daemon/peers.py
@@ -12,10 +12,10 @@
 import msgspec
 from aiohttp import web
 
-from . import constants as c
-from . import wire
-from .net import Client, Unavailable
-from .settings import Member, Settings
+from coveflow import constants as c
+from coveflow import wire
+from coveflow.net.http import Client, Unavailable
+from coveflow.settings import Member, Settings
 
 log = logging.getLogger("coveflow.peers")
 
--- a/coveflow/cloud.py
+++ b/coveflow/net/cloud.py
@@ -6,11 +6,11 @@
 
 import aiohttp
 
-from . import constants as c
-from . import wire
-from .meters import Meters
-from .model import Flavor, Listed
-from .net import Bucket, Client, Unavailable
+from coveflow import constants as c
+from coveflow import wire
+from coveflow.core.model import Flavor, Listed
+from coveflow.net.http import Bucket, Client, Unavailable
+from coveflow.net.meters import Meters
 
 TIMEOUT_S = 4.0  # s; a request that takes longer counts as lost
 
--- a/coveflow/records.py
+++ b/coveflow/state/records.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from . import constants as c
+from coveflow import constants as c
 
 _json = msgspec.json.Encoder()
 
--- a/coveflow/store.py
+++ b/coveflow/state/store.py
@@ -8,11 +8,11 @@
 
 import aiohttp
 
-from . import constants as c
-from . import wire
-from .meters import Meters
-from .net import Bucket, Client, Unavailable, Unsure
-from .settings import State
+from coveflow import constants as c
+from coveflow import wire
+from coveflow.net.http import Bucket, Client, Unavailable, Unsure
+from coveflow.net.meters import Meters
+from coveflow.settings import State
 
 
 class Conflict(Exception):
--- a/coveflow/wire.py
+++ b/coveflow/wire.py
@@ -9,8 +9,8 @@
 import cbor2
 import msgspec
 
-from . import constants as c
-from .model import Flavor, Listed, Order, Report, Spec, TaskReport, ranges, unranges
+from coveflow import constants as c
+from coveflow.core.model import Flavor, Listed, Order, Report, Spec, TaskReport, ranges, unranges
 
 KINDS = {"array": "array", "gang": "gang", "standing": "service"}
 PRIORITIES = {"production": 3, "high": 2, "normal": 1, "low": 0}
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from coveflow.model import Flavor, Spec
+from coveflow.core.model import Flavor, Spec
 
 
 def spec(name: str = "j-000001", **changes: Any) -> Spec:
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -6,12 +6,12 @@
 import cbor2
 import pytest
 
-from coveflow import commands as cm
-from coveflow import owner as o
-from coveflow.agents import Agents
-from coveflow.model import Machine
-from coveflow.net import Unavailable
-from coveflow.peers import Peers
+from coveflow.core.model import Machine
+from coveflow.daemon import commands as cm
+from coveflow.daemon import owner as o
+from coveflow.daemon.agents import Agents
+from coveflow.daemon.peers import Peers
+from coveflow.net.http import Unavailable
 from tests.samples import flavor
 from tests.world import CANCEL_S, LEASE_S, node_settings
 
@@ -56,7 +56,7 @@
 
 def test_an_answer_to_another_report_is_dropped(monkeypatch):
     """A run for an older report would reach the worker late."""
-    monkeypatch.setattr("coveflow.agents.MAIL_WAIT_S", 0.05)
+    monkeypatch.setattr("coveflow.daemon.agents.MAIL_WAIT_S", 0.05)
     run = {"epoch": 3, "orders": [{"verb": "run", "piece": "j-000001/0", "try": 1}]}
     agents = follower(lambda mail: {"boot": mail["boot"], "answers": {"n-1": [1, 6, run]}})
     assert beat(agents) == {"epoch": 3, "orders": []}
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -1,6 +1,6 @@
 """What is expected of a class by what it asked for lately."""
 
-from coveflow.demand import Demand
+from coveflow.core.demand import Demand
 from tests.samples import spec
 
 
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -2,7 +2,7 @@
 
 import math
 
-from coveflow.estimates import Predictor
+from coveflow.core.estimates import Predictor
 from tests.samples import spec
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,8 +1,8 @@
 """Renting and returning, by hand-made examples."""
 
-from coveflow.fleet import Fleet, Want
-from coveflow.model import Job, Machine
-from coveflow.planner import Lack
+from coveflow.core.fleet import Fleet, Want
+from coveflow.core.model import Job, Machine
+from coveflow.core.planner import Lack
 from coveflow.settings import Tuning
 from tests.samples import flavor, spec
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -6,13 +6,13 @@
 import msgspec
 import pytest
 
-from coveflow import commands as cm
 from coveflow import constants as c
-from coveflow import owner as o
-from coveflow.front import Front
-from coveflow.net import Unavailable
-from coveflow.peers import Peers
-from coveflow.store import Conflict
+from coveflow.daemon import commands as cm
+from coveflow.daemon import owner as o
+from coveflow.daemon.front import Front
+from coveflow.daemon.peers import Peers
+from coveflow.net.http import Unavailable
+from coveflow.state.store import Conflict
 from tests.samples import spec
 from tests.world import node_settings
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from coveflow import planner, scene, stopping
-from coveflow.model import Job, Machine
+from coveflow.core import planner, scene, stopping
+from coveflow.core.model import Job, Machine
 from coveflow.settings import Team, Tuning
 from tests.samples import flavor, spec
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from coveflow.records import Records, Unreadable
+from coveflow.state.records import Records, Unreadable
 
 PREFIX = "st/slot/"
 CHANGES = st.lists(
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from coveflow import wire
-from coveflow.model import Order, Report, TaskReport, ranges, unranges
+from coveflow.core.model import Order, Report, TaskReport, ranges, unranges
 
 GOOD = {
     "name_id": "j-000412", "workload": "train", "owner": "vision", "shape": "gang",
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -4,10 +4,10 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from coveflow import commands as cm
 from coveflow import constants as c
-from coveflow import owner as o
-from coveflow import placing, planner
+from coveflow.core import placing, planner
+from coveflow.daemon import commands as cm
+from coveflow.daemon import owner as o
 from tests.samples import spec
 from tests.world import Broken, World
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,10 +19,10 @@
 import cbor2
 import msgspec
 
-from coveflow import commands as cm
-from coveflow import owner as o
 from coveflow import settings as s
-from coveflow.model import Report, Spec, TaskReport
+from coveflow.core.model import Report, Spec, TaskReport
+from coveflow.daemon import commands as cm
+from coveflow.daemon import owner as o
 from tests.samples import flavor
 
 LEASE_S, CANCEL_S, REPORT_S = 10.0, 40.0, 1.0
