--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -36,6 +36,7 @@
 MACHINE_PLACEMENTS = 200  # placements on one machine's record, keeping it under 8 KiB
 TERMINAL_CACHE = 20_000  # jobs whose final state a node remembers without asking
 REMOVED_KEPT = 2_000  # jobs whose removal is remembered against late changes of the watch
+GONE_KEPT = 5_000  # machines proven gone that are remembered against their late reports
 
 # --- users -----------------------------------------------------------------------------
 SUBMIT_QUEUE = 96  # submissions that wait for their commit; more would not be written in time
--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -78,7 +78,7 @@
         except wire.Malformed as error:
             return web.Response(status=400, body=wire.error(str(error)))
         self.heard_at = now = self.clock()
-        self.owner.meters.add("reports")
+        self.owner.around.meters.add("reports")
         if not self.may_keep_alive():
             return web.Response(status=503)
         if self.owner.leading:
@@ -106,7 +106,7 @@
             return None
 
     async def _follow(self, report: Report, body: bytes, now: float) -> web.StreamResponse:
-        leader = self.owner.view.leader
+        leader = self.owner.inbox.view.leader
         machine = report.machine
         peer = self.peers.get(leader)
         if peer is not None and self.peers.fresh(leader) and peer.leading:
@@ -142,7 +142,9 @@
 
     def _keep_alive(self, report: Report, now: float) -> web.Response:
         self.kept[report.machine] = now
-        return web.Response(body=wire.orders_answer(self.owner.view.epoch, self._stops(report)))
+        return web.Response(
+            body=wire.orders_answer(self.owner.inbox.view.epoch, self._stops(report))
+        )
 
     # --- mail through the store ----------------------------------------------------------
 
@@ -221,7 +223,7 @@
                 answers[report.machine] = row
         reply = {"boot": value["boot"], "answers": answers}
         try:
-            await self.store.commit({VIEW: self.owner.lead_rev}, {REPLY + member: reply})
+            await self.store.commit({VIEW: self.owner.book.rev}, {REPLY + member: reply})
         except (Unavailable, Conflict) as error:
             log.debug("reply to %s: %s", member, error)
 
@@ -231,10 +233,10 @@
         for t in report.tasks:
             if t.state == "exited":
                 continue
-            entry = self.owner.accepted.get(t.job)
+            entry = self.owner.inbox.accepted.get(t.job)
             if (entry is not None and entry.cancelled is not None) or (
                 t.job in self.peers.cancelled
-                or self.owner.terminal.get(t.job, ("",))[0] == "cancelled"
+                or self.owner.inbox.terminal.get(t.job, ("",))[0] == "cancelled"
             ):
                 orders.append(Order("stop", t.job, t.task, t.number))
         return orders
@@ -251,7 +253,7 @@
         found = {name: now - at for name, at in self.kept.items()}
         if self.owner.leading and now - self.store.contact > c.PEER_FRESH_S:
             # Without the store it may be deposed and not know: its workers are not silent.
-            for m in self.owner.machines.values():
+            for m in self.owner.book.machines.values():
                 if m.counter >= 0 and now - m.heard < limit:
                     found[m.id] = now - m.heard
         return found
--- /dev/null
+++ b/coveflow/daemon/around.py
@@ -0,0 +1,24 @@
+"""What the owner's parts have of the world: settings, clocks, meters and the way out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from coveflow.net.meters import Meters
+from coveflow.settings import Settings, Tuning
+
+
+class Around(msgspec.Struct, eq=False):
+    """Handed to every part; the program fills in the ways out after building its servers."""
+
+    settings: Settings
+    tuning: Tuning
+    clock: Callable[[], float]  # s, steady
+    wall: Callable[[], float]  # s, time of day
+    meters: Meters
+    effects: Callable[[str, Any], None] = lambda kind, data: None
+    peer_hears: Callable[[str, float], bool] = lambda machine, within: False
+    peers_known: Callable[[], bool] = lambda: True
--- /dev/null
+++ b/coveflow/daemon/book.py
@@ -0,0 +1,213 @@
+"""All that a leader knows for as long as it leads: jobs, machines, attempts, what is to commit.
+
+A book is begun when a node takes the lead and thrown away whole when it leaves it. Its methods are
+the changes that more than one part makes; each part (reports, planning, machines, commits) owns
+what only it needs.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections import OrderedDict
+
+from coveflow import constants as c
+from coveflow.core import demand, fleet, planner, scene
+from coveflow.core.estimates import Predictor
+from coveflow.core.model import Job, Machine, Placement
+from coveflow.daemon.around import Around
+from coveflow.daemon.commands import SLOT, Accepted, End, Held
+from coveflow.state.records import Records
+
+log = logging.getLogger("coveflow.owner")
+
+
+class Book:
+    def __init__(self, around: Around) -> None:
+        self.around = around
+        params, tuning = around.settings.params, around.tuning
+        self.leading = 0  # epoch this process leads; 0: it does not
+        self.rev = 0  # revision of the view that says so
+        self.since = 0.0
+        self.jobs: dict[str, Job] = {}
+        self.uses: OrderedDict[scene.Use, None] = OrderedDict()  # of accelerators, by recent jobs
+        self.demand: dict[str, demand.Demand] = {}  # for accelerators, by class
+        self.machines: dict[str, Machine] = {}
+        self.fleet = fleet.Fleet()
+        self.predictor = Predictor(tuning.estimators, tuning.decay, tuning.recent)
+        # What is to be committed.
+        self.records = Records(SLOT, int(params.state.value_kb * 1024 * c.SLOT_PART))
+        self.unsettled: dict[str, int] = {}
+        self.ends: dict[str, list[End]] = {}
+        self.dirty_jobs: dict[str, None] = {}
+        self.dirty_chunks: dict[str, set[int]] = {}
+        self.dirty_machines: dict[str, None] = {}
+        self.gone: OrderedDict[str, float] = OrderedDict()
+        self.drop: dict[str, None] = {}  # machines proven gone, record not removed yet
+        # Answers that wait.
+        self.held: dict[str, Held] = {}
+        self.hot: set[str] = set()  # machines whose held answer may be ready
+        # What is due.
+        self.pass_due = False
+        self.fleet_due = False
+        self.arrivals = False  # a job came since the last full cycle
+        self.passed_at = -math.inf
+        self.plan = planner.Plan()  # of the last full cycle
+
+    # --- jobs and attempts -------------------------------------------------------------
+
+    def adopt(self, entry: Accepted) -> None:
+        """Take in an accepted job, or the news that its user cancelled it."""
+        job = self.jobs.get(entry.spec.id)
+        if job is None:
+            job = Job(entry.spec, entry.at, entry.rev, seen_at=self.around.clock())
+            job.refill()
+            self.jobs[job.id] = job
+            self.arrivals = True
+            self._asked(job)
+            log.info(
+                "job %s: %d tasks of %s (%g CPUs each%s) for %s",
+                job.id,
+                job.spec.tasks,
+                job.spec.workload,
+                job.spec.cpus,
+                ", spot too" if job.spec.spot else "",
+                job.spec.team,
+            )
+        job.rev = max(job.rev, entry.rev)
+        if entry.cancelled is not None and job.cancelled is None:
+            job.cancelled = entry.cancelled
+            log.info("job %s: cancelled, %d tasks to end", job.id, len(job.placed))
+            for p in job.placed.values():
+                p.stopping, p.grace_s = True, 0.0
+                self.wake(p.machine)
+            if job.over:
+                self.dirty_jobs[job.id] = None
+        self.pass_due = True
+
+    def _asked(self, job: Job) -> None:
+        use = scene.use_of(job.spec)
+        if use is None:
+            return
+        self.uses[use] = None
+        self.uses.move_to_end(use)
+        if len(self.uses) > c.USES_KEPT:
+            self.uses.popitem(last=False)
+        known = self.demand.setdefault(job.spec.workload, demand.Demand())
+        known.add(job.spec, self.around.clock() - max(0.0, self.around.wall() - job.arrived))
+
+    def end(self, p: Placement, done: bool, why: str) -> None:
+        """The attempt is proven gone. Its room is free; its task is, once that is committed."""
+        m = self.machines[p.machine]
+        job = self.jobs[p.job]
+        del m.placements[p.key]
+        m.give(job.spec)
+        job.attempts -= 1
+        m.clearing.add(p.key)
+        self.ends.setdefault(m.id, []).append(End(p, done, self.around.clock()))
+        self.unsettled[job.id] = self.unsettled.get(job.id, 0) + 1
+        if job.placed.get(p.task) is p:
+            del job.placed[p.task]
+        if done:
+            job.mark_done(p.task)
+        else:
+            # Numbers up to this one are spent: a cleared attempt must never be run again.
+            job.floor = max(job.floor, p.number)
+        self._dirty_task(job, p.task)
+        self.dirty_machines[m.id] = None
+        if not done:
+            log.info("task %s/%d try %d on %s: %s", p.job, p.task, p.number, m.id, why)
+        else:
+            log.debug("task %s/%d try %d on %s: done", p.job, p.task, p.number, m.id)
+        if done and job.complete:
+            self._completed(job)
+
+    def gang_ended(self, p: Placement, done: bool) -> None:
+        """A gang completes together, and falls apart together, whatever proved the end.
+
+        Mates of a task that ended with its machine's lease once went on waiting for it.
+        """
+        job = self.jobs[p.job]
+        if job.spec.kind != "gang":
+            return
+        peer_s = self.around.settings.params.workers.gang_peer_s
+        for mate in job.placed.values():
+            if mate.number != p.number:
+                continue
+            if done:
+                job.mark_done(mate.task)
+                self._dirty_task(job, mate.task)
+            elif not mate.stopping:
+                mate.stopping = True
+                mate.grace_s = max(job.spec.save_s, peer_s)
+                self.wake(mate.machine)
+        if done and job.complete:
+            self._completed(job)
+
+    def lost(self, m: Machine, why: str) -> None:
+        """All that was on the machine is proven gone."""
+        for p in list(m.placements.values()):
+            self.end(p, False, why)
+            self.gang_ended(p, False)
+
+    def _dirty_task(self, job: Job, task: int) -> None:
+        self.dirty_jobs[job.id] = None
+        if task in job.done:
+            self.dirty_chunks.setdefault(job.id, set()).add(task // c.CHUNK_TASKS)
+
+    def _completed(self, job: Job) -> None:
+        log.info(
+            "job %s: all %d tasks done after %.1f s",
+            job.id,
+            job.spec.tasks,
+            self.around.wall() - job.arrived,
+        )
+        if job.run_count and job.spec.kind != "service":
+            self.predictor.observe(job.spec, job.run_sum / job.run_count)
+
+    def usage(self) -> dict[str, tuple[float, float]]:
+        """Each team's use, counting every placement until it is proven gone."""
+        used: dict[str, tuple[float, float]] = {}
+        for job in self.jobs.values():
+            if job.attempts:
+                spec = job.spec
+                cpus, acc = used.get(spec.team, (0.0, 0.0))
+                used[spec.team] = (
+                    cpus + spec.cpus * job.attempts,
+                    acc + spec.accelerators * job.attempts,
+                )
+        return used
+
+    # --- machines ----------------------------------------------------------------------
+
+    def wake(self, machine: str) -> None:
+        """There is something to tell this machine: an answer that waits for it goes out."""
+        waiting = self.held.get(machine)
+        if waiting is not None:
+            waiting.until = 0.0
+            self.hot.add(machine)
+
+    def heard_lately(self, m: Machine, now: float) -> bool:
+        """Only a machine that this leader hears may be given work; its tenure is known."""
+        patience = 3 * self.around.settings.params.workers.report_s + 1.0
+        return m.up and m.counter >= 0 and now - m.heard < patience
+
+    def gauge(self) -> str:
+        """The fleet at this moment, for the log."""
+        now = self.around.clock()
+        heard = [m for m in self.machines.values() if self.heard_lately(m, now)]
+        total = sum(m.flavor.cpus for m in heard)
+        free = sum(m.cpus for m in heard)
+        waiting = sum(len(job.free) for job in self.jobs.values() if job.cancelled is None)
+        pulling = sum(p.state != "running" for m in heard for p in m.placements.values())
+        scarce = ""
+        for spot in (False, True):
+            there = [m for m in heard if m.flavor.accelerators and m.spot == spot]
+            if there:
+                most = sum(m.flavor.accelerators for m in there)
+                used = most - sum(m.accelerators for m in there)
+                scarce += f"{used:g} of {most:g} {'spot ' if spot else ''}accelerators, "
+        return (
+            f"{len(heard)} of {len(self.machines)} machines heard, {scarce}{total - free:g} of"
+            f" {total:g} CPUs in use, {waiting} tasks wait, {pulling} do not run yet"
+        )
--- /dev/null
+++ b/coveflow/daemon/commits.py
@@ -0,0 +1,249 @@
+"""The leader's transactions: built from what changed, settled by the store's word."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from coveflow import constants as c
+from coveflow.core.model import Job, Machine
+from coveflow.daemon.around import Around
+from coveflow.daemon.book import Book
+from coveflow.daemon.commands import (
+    CHUNK,
+    FLOOR,
+    HISTORY,
+    JOB,
+    MACHINE,
+    OLD,
+    VIEW,
+    End,
+    Settled,
+    Txn,
+)
+from coveflow.daemon.inbox import Inbox
+from coveflow.state.records import Draft
+
+log = logging.getLogger("coveflow.owner")
+
+
+class Commits:
+    def __init__(
+        self,
+        around: Around,
+        inbox: Inbox,
+        book: Book,
+        step_down: Callable[[str], None],
+    ) -> None:
+        self.around, self.inbox, self.book = around, inbox, book
+        self.step_down = step_down
+        self.params = around.settings.params
+        self.in_flight: Txn | None = None
+        self.next_commit = 0.0
+        self.history_rev = 0
+        self.history_at = 0.0
+        self.history_due = False
+
+    def tick(self, now: float) -> None:
+        if self.book.predictor.changed and now - self.history_at > c.HISTORY_WRITE_S:
+            self.history_at, self.history_due = now, True
+
+    def due(self, now: float) -> None:
+        """Send the next transaction if none is under way and something changed."""
+        if self.in_flight is not None or now < self.next_commit:
+            return
+        txn = self._build()
+        if txn is not None:
+            self.in_flight = txn
+            self.next_commit = now + c.COMMIT_PACE_S
+            self.around.effects("commit", txn)
+
+    # --- building ----------------------------------------------------------------------
+
+    def _build(self) -> Txn | None:
+        """The next transaction: progress of jobs first, then machines, then finished jobs.
+
+        A machine's record gives up an attempt only together with, or after, the job's record
+        of that end; otherwise a new leader could lose a done task or reuse a number.
+        """
+        limit = self.params.state.txn_ops
+        txn = Txn({VIEW: self.book.rev}, {})
+        # Half of the changes and of the bytes at least stay for jobs that end.
+        slots = max(1, min(c.SLOTS_TXN, limit // 2))
+        draft = txn.draft = self.book.records.draft(slots, c.TXN_BYTES)
+        finish: list[Job] = []
+        if self._add_jobs(txn, draft, finish):
+            self._add_machines(txn, draft)
+            self._add_finished(txn, draft, finish, limit)
+        for key, rev, value in draft.rows():
+            txn.guards[key] = rev
+            txn.writes[key] = value
+        if self.history_due and len(txn.writes) < limit:
+            record = self.book.predictor.dump(
+                min(c.HISTORY_BYTES, int(self.params.state.value_kb * 1024 * 0.8))
+            )
+            txn.guards[HISTORY] = self.history_rev
+            txn.writes[HISTORY] = record
+            txn.history = True
+            self.history_due = False
+            self.book.predictor.changed = False
+        return txn if txn.writes else None
+
+    def _add_jobs(self, txn: Txn, draft: Draft, finish: list[Job]) -> bool:
+        """Progress of jobs; whether all of it fits, without which no machine may follow."""
+        book = self.book
+        for name in list(book.dirty_jobs):
+            job = book.jobs.get(name)
+            if job is None:
+                del book.dirty_jobs[name]
+                continue
+            if job.over and not job.finishing:
+                finish.append(job)
+                if not book.unsettled.get(name):
+                    continue  # all its ends are committed: the final record says the rest
+            chunks = book.dirty_chunks.get(name, set())
+            whole = (
+                not job.floor
+                or book.records.values.get(FLOOR + name) == job.floor
+                or draft.add(FLOOR + name, job.floor)
+            ) and all(draft.add(f"{CHUNK}{name}/{i}", job.chunk(i)) for i in sorted(chunks))
+            if not whole:
+                return False
+            txn.jobs.append((job, chunks))
+            del book.dirty_jobs[name]
+            book.dirty_chunks.pop(name, None)
+        return True
+
+    def _add_machines(self, txn: Txn, draft: Draft) -> None:
+        book = self.book
+        for name in list(book.dirty_machines):
+            m = book.machines.get(name)
+            if m is None:
+                del book.dirty_machines[name]
+                continue
+            removing = name in book.drop
+            if removing and MACHINE + name not in book.records:
+                del book.dirty_machines[name]
+                self._forget_machine(m)
+                continue
+            if not draft.add(MACHINE + name, None if removing else m.record()):
+                break
+            del book.dirty_machines[name]
+            (txn.removed if removing else txn.machines).append(m)
+            txn.placed += [p for p in m.placements.values() if not p.committed]
+            txn.ends += [(m, end) for end in book.ends.pop(name, [])]
+
+    def _add_finished(self, txn: Txn, draft: Draft, finish: list[Job], limit: int) -> None:
+        for job in finish:
+            if len(draft.contents) + len(txn.writes) + 2 > limit - 1:
+                break
+            if self.book.unsettled.get(job.id):
+                continue
+            if not all(draft.add(item, None) for item in _items(job)):
+                break
+            status = "done" if job.complete and job.cancelled is None else "cancelled"
+            txn.guards[OLD + job.id] = 0
+            txn.writes[OLD + job.id] = {"status": status, "done": len(job.done)}
+            # Guarding the accepted record settles the race with a cancellation.
+            txn.guards[JOB + job.id] = job.rev
+            txn.writes[JOB + job.id] = None
+            job.finishing = True
+            txn.finished.append(job)
+            self.book.dirty_jobs.pop(job.id, None)
+
+    # --- settling ----------------------------------------------------------------------
+
+    def settled(self, command: Settled) -> None:
+        if command.txn is not self.in_flight:
+            return
+        self.in_flight = None
+        if command.rev is None:
+            self._conflict(command.txn, command.conflict or [])
+        else:
+            self._applied(command.txn, command.rev)
+
+    def _applied(self, txn: Txn, rev: int) -> None:
+        book, meters = self.book, self.around.meters
+        if txn.draft is not None:
+            book.records.settled(txn.draft, rev)
+        book.hot.update(m.id for m in txn.machines)
+        now = self.around.clock()
+        for p in txn.placed:
+            meters.span("start committed", now - p.placed_at)
+        for _, end in txn.ends:
+            meters.span("end committed", now - end.at)
+        if txn.history:
+            self.history_rev = rev
+        for p in txn.placed:
+            p.committed = True
+        for m, end in txn.ends:
+            p = end.placement
+            m.clearing.discard(p.key)
+            job = book.jobs.get(p.job)
+            if job is None:
+                continue
+            book.unsettled[job.id] -= 1
+            if not end.done and p.task not in job.done and p.task not in job.placed:
+                job.free.append(p.task)
+                book.pass_due = True
+            if job.over:
+                book.dirty_jobs[job.id] = None
+        for m in txn.removed:
+            self._forget_machine(m)
+        for job in txn.finished:
+            status = txn.writes[OLD + job.id]["status"]
+            log.info("job %s: %s", job.id, status)
+            book.jobs.pop(job.id, None)
+            book.unsettled.pop(job.id, None)
+            self.inbox.ended(job.id, status, len(job.done), rev)
+
+    def _forget_machine(self, m: Machine) -> None:
+        self.book.machines.pop(m.id, None)
+        self.book.drop.pop(m.id, None)
+        for end in self.book.ends.pop(m.id, []):
+            self._settle_end(end)
+
+    def _settle_end(self, end: End) -> None:
+        """An end on a machine that was never recorded has nothing to commit."""
+        book = self.book
+        job = book.jobs.get(end.placement.job)
+        if job is None:
+            return
+        book.unsettled[job.id] -= 1
+        if not end.done and end.placement.task not in job.done:
+            job.free.append(end.placement.task)
+        book.dirty_jobs[job.id] = None
+        book.pass_due = True
+
+    def _conflict(self, txn: Txn, failed: list[str]) -> None:
+        """Nothing of it was applied. Everything in it is due again, with newer revisions."""
+        book = self.book
+        if VIEW in failed:
+            self.step_down("the view has moved on")
+            return
+        if any(not key.startswith(JOB) for key in failed) or not failed:
+            # A record only the leader writes is not as it left it: start again from the store.
+            log.error("unexpected conflict on %s", failed)
+            self.step_down("its records changed")
+            self.around.effects("retake", None)
+            return
+        for job, chunks in txn.jobs:
+            book.dirty_jobs[job.id] = None
+            book.dirty_chunks.setdefault(job.id, set()).update(chunks)
+        for m in txn.machines + txn.removed:
+            book.dirty_machines[m.id] = None
+        for m, end in txn.ends:
+            book.ends.setdefault(m.id, []).append(end)
+        for job in txn.finished:
+            job.finishing = False
+            book.dirty_jobs[job.id] = None
+        if txn.history:
+            book.predictor.changed = True
+        # The accepted record's newer version (a cancellation) is on its way; read it at once.
+        self.around.effects("reread", [key for key in failed if key.startswith(JOB)])
+        self.next_commit = self.around.clock() + c.RETRY_S
+
+
+def _items(job: Job) -> list[str]:
+    """All items that the records may hold of a job."""
+    return [FLOOR + job.id, *(f"{CHUNK}{job.id}/{index}" for index in sorted(job.bits))]
--- a/coveflow/daemon/front.py
+++ b/coveflow/daemon/front.py
@@ -81,7 +81,7 @@
 
     def healthy(self) -> bool:
         """A blip of the store that all nodes see makes none of them unhealthy."""
-        if not self.owner.flavors:
+        if not self.owner.inbox.flavors:
             return False
         stale = self.clock() - self.store.contact > STALE_S
         return not (stale and self.peers.store_works())
@@ -96,18 +96,18 @@
             # An accepted id must never get 400, whatever the repeated body holds.
             known = await self.status(name) if name else None
             return known or answer(400, wire.error(str(error)))
-        if spec.id in self.owner.terminal or spec.id in self.owner.accepted:
+        if spec.id in self.owner.inbox.terminal or spec.id in self.owner.inbox.accepted:
             known = await self.status(spec.id)
             if known is not None:
                 return known
-        if not self.owner.flavors:
+        if not self.owner.inbox.flavors:
             return web.Response(status=503, headers=BUSY)
         refusal = self.refusal(spec)
         if refusal:
             known = await self.status(spec.id)
             return known or answer(422, wire.error(refusal))
         if spec.types is not None:
-            types = [name for name in spec.types if name in self.owner.flavors]
+            types = [name for name in spec.types if name in self.owner.inbox.flavors]
             spec = msgspec.structs.replace(spec, types=types)
         record = {"spec": msgspec.to_builtins(spec), "at": self.wall()}
         accepted = await self.accept(spec.id, record)
@@ -124,7 +124,7 @@
         team = self.teams.get(spec.team)
         if team is None:
             return "unknown team"
-        if not placeable(spec, list(self.owner.flavors.values())):
+        if not placeable(spec, list(self.owner.inbox.flavors.values())):
             return "a task fits no allowed machine type"
         count = 1 if spec.kind == "array" else spec.tasks
         if team.cpus_max > 0 and spec.cpus * count > team.cpus_max + 1e-6:
@@ -188,7 +188,7 @@
 
     async def status(self, name: str) -> web.StreamResponse | None:
         """The job's state by the store's word, or None if it was never accepted."""
-        final = self.owner.terminal.get(name)
+        final = self.owner.inbox.terminal.get(name)
         if final is not None:
             return answer(200, wire.job_answer(name, final[0], final[1]))
         checked = await self._checked(name)
@@ -203,7 +203,7 @@
         value, _ = await self.store.get(cm.OLD + name)
         if value is None:
             return None
-        self.owner.remember_terminal(name, value["status"], value["done"])
+        self.owner.inbox.remember_terminal(name, value["status"], value["done"])
         return answer(200, wire.job_answer(name, value["status"], value["done"]))
 
     def _state(self, name: str, cancelled: bool) -> web.StreamResponse:
@@ -238,7 +238,7 @@
             for name, future in self.asked.items():
                 if len(guards) + 2 > limit and batch:
                     break
-                known = self.owner.accepted.get(name)
+                known = self.owner.inbox.accepted.get(name)
                 if known is not None:
                     guards[cm.JOB + name] = known.rev
                 else:
@@ -271,7 +271,7 @@
     def _counts(self, name: str) -> tuple[int, int]:
         if self.owner.leading:
             return self.owner.counts.get(name, (0, 0))
-        peer = self.peers.get(self.owner.view.leader)
+        peer = self.peers.get(self.owner.inbox.view.leader)
         counts = peer.counts.get(name) if peer is not None else None
         return (counts[0], counts[1]) if counts else (0, 0)
 
--- /dev/null
+++ b/coveflow/daemon/inbox.py
@@ -0,0 +1,114 @@
+"""What every node knows from the store's inbox: the view, the live members, accepted jobs."""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from coveflow import constants as c
+from coveflow.core.model import Flavor, Spec
+from coveflow.daemon.commands import (
+    JOB,
+    MAIL,
+    MEMBER,
+    REPLY,
+    TYPES,
+    VIEW,
+    Accepted,
+    InboxRows,
+    View,
+)
+
+log = logging.getLogger("coveflow.owner")
+
+
+class Inbox:
+    """Changed by rows of the store only, each newer than the last of its key."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.view = View()
+        self.members: dict[str, int] = {}
+        self.accepted: dict[str, Accepted] = {}
+        self.flavors: dict[str, Flavor] = {}
+        self.types_rev = 0
+        self.terminal: OrderedDict[str, tuple[str, int]] = OrderedDict()
+        self.rev = -1
+        self.removed: OrderedDict[str, int] = OrderedDict()  # jobs over, by their last revision
+        self.on_job: Callable[[Accepted], None] = lambda entry: None
+        self.on_mail: Callable[[str, Any], None] = lambda member, value: None
+        self.on_reply: Callable[[Any], None] = lambda value: None
+
+    def take(self, command: InboxRows) -> None:
+        if command.listed is not None:
+            keys = {key for key, _, _ in command.rows}
+            for name in [n for n in self.members if MEMBER + n not in keys]:
+                del self.members[name]
+            for job in [j for j in self.accepted if JOB + j not in keys]:
+                del self.accepted[job]
+            self.rev = command.listed
+        for key, value, rev in command.rows:
+            # Changes older than the listing are part of it; told again they would undo it.
+            if command.listed is not None or rev > self.rev:
+                self._row(key, value, rev)
+
+    def _row(self, key: str, value: Any, rev: int) -> None:
+        if key == VIEW:
+            if value is not None and rev > self.view.rev:
+                self.view = View(value["epoch"], value["leader"], value["members"], rev)
+                log.info("view: epoch %d, leader %s", self.view.epoch, self.view.leader)
+        elif key == TYPES:
+            if value is not None and rev > self.types_rev:
+                self.types_rev = rev
+                for row in value["types"]:
+                    flavor = msgspec.convert(row, Flavor)
+                    self.flavors.setdefault(flavor.name, flavor)
+        elif key.startswith(MEMBER):
+            name = key[len(MEMBER) :]
+            if value is None:
+                self.members.pop(name, None)
+            else:
+                self.members[name] = rev
+        elif key.startswith(JOB):
+            self._job_row(key[len(JOB) :], value, rev)
+        elif value is not None and key.startswith(MAIL):
+            if key[len(MAIL) :] != self.name:
+                self.on_mail(key[len(MAIL) :], value)
+        elif value is not None and key == REPLY + self.name:
+            self.on_reply(value)
+
+    def _job_row(self, name: str, value: Any, rev: int) -> None:
+        if value is None:
+            known = self.accepted.get(name)
+            if known is None or rev > known.rev:
+                self.accepted.pop(name, None)
+            return
+        known = self.accepted.get(name)
+        if known is not None and rev <= known.rev:
+            return
+        if rev <= self.removed.get(name, -1):
+            # The watch may tell a job's last change after its end was committed here; a job
+            # taken in again that way once conflicted with its own final record.
+            return
+        spec = known.spec if known is not None else msgspec.convert(value["spec"], Spec)
+        entry = Accepted(spec, value["at"], rev, value.get("cancel"))
+        self.accepted[name] = entry
+        self.on_job(entry)
+
+    def remember_terminal(self, job: str, status: str, done: int) -> None:
+        """A final state never changes, so it may be told without asking again."""
+        self.terminal[job] = (status, done)
+        if len(self.terminal) > c.TERMINAL_CACHE:
+            self.terminal.popitem(last=False)
+
+    def ended(self, job: str, status: str, done: int, rev: int) -> None:
+        """This node committed the job's final state at that revision."""
+        self.remember_terminal(job, status, done)
+        self.accepted.pop(job, None)
+        self.removed[job] = rev
+        if len(self.removed) > c.REMOVED_KEPT:
+            self.removed.popitem(last=False)
--- a/coveflow/daemon/membership.py
+++ b/coveflow/daemon/membership.py
@@ -112,24 +112,24 @@
 
     def _may_lead(self) -> bool:
         owner, me = self.owner, self.settings.name
-        if me not in owner.members or self.grant is None or not owner.flavors:
+        if me not in owner.inbox.members or self.grant is None or not owner.inbox.flavors:
             return False
         if owner.leading and not self.retake:
             return False
         if self.clock() < owner.lead_after:
             return False
-        leader = owner.view.leader
-        return leader == me or leader not in owner.members
+        leader = owner.inbox.view.leader
+        return leader == me or leader not in owner.inbox.members
 
     async def _take_over(self) -> int:
         """Raise the epoch with this node as leader, then load all from the store."""
         owner, me = self.owner, self.settings.name
-        old = owner.view
+        old = owner.inbox.view
         guards = {cm.VIEW: old.rev}
         if old.leader and old.leader != me:
             guards[cm.MEMBER + old.leader] = 0
         epoch = old.epoch + 1
-        value = {"epoch": epoch, "leader": me, "members": sorted(owner.members)}
+        value = {"epoch": epoch, "leader": me, "members": sorted(owner.inbox.members)}
         self.store.set_leading(True)
         try:
             rev = await self.store.sure_commit(guards, {cm.VIEW: value}, self.clock() + 3.0)
--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -52,14 +52,14 @@
             params.state,
             params.size,
             self.clock,
-            self.owner.meters,
+            self.owner.around.meters,
         )
         self.cloud = Cloud(
             self.session,
             settings.services.cloud,
             params.cloud.rps,
             self.clock,
-            self.owner.meters,
+            self.owner.around.meters,
         )
         self.membership = Membership(settings, self.store, self.owner, self.clock, self.isolated)
         self.peers = Peers(settings, self.session, self.clock, self.info, self.relayed, self.viewed)
@@ -81,9 +81,9 @@
             self.agents.handle,
         )
         self.membership.on_contact = self.peers.on_contact
-        self.owner.on_effects = self.effect
-        self.owner.peer_hears = self.peers.hears
-        self.owner.peers_known = self.peers.all_fresh
+        self.owner.around.effects = self.effect
+        self.owner.around.peer_hears = self.peers.hears
+        self.owner.around.peers_known = self.peers.all_fresh
         self.tasks: set[asyncio.Task[None]] = set()
         self.lead_tasks: set[asyncio.Task[None]] = set()
 
@@ -94,9 +94,9 @@
         return {
             "name": self.settings.name,
             "boot": self.peers.boot,
-            "epoch": self.owner.view.epoch,
-            "view": cm.view_value(self.owner.view),
-            "view_rev": self.owner.view.rev,
+            "epoch": self.owner.inbox.view.epoch,
+            "view": cm.view_value(self.owner.inbox.view),
+            "view_rev": self.owner.inbox.view.rev,
             "leading": bool(self.owner.leading),
             "store_age": now - self.store.contact,
             "cancels": self.front.recent_cancels(),
@@ -106,7 +106,7 @@
 
     def viewed(self, view: dict[str, Any], rev: int) -> None:
         """A peer's view; a newer one counts as if the store had told it."""
-        if rev > self.owner.view.rev:
+        if rev > self.owner.inbox.view.rev:
             self.owner.put(cm.InboxRows([(cm.VIEW, view, rev)]))
 
     async def relayed(self, body: bytes) -> bytes | None:
@@ -114,7 +114,7 @@
 
     def isolated(self) -> bool:
         """It has the store but neither workers nor peers, while others could do better."""
-        others = any(name != self.settings.name for name in self.owner.members)
+        others = any(name != self.settings.name for name in self.owner.inbox.members)
         now = self.clock()
         quiet = now - max(self.agents.heard_at, self.peers.heard_at) > ISOLATED_S
         return quiet and others
@@ -172,7 +172,7 @@
         fleet back because it heard no worker any more.
         """
         try:
-            await self.store.commit({cm.VIEW: self.owner.lead_rev}, {})
+            await self.store.commit({cm.VIEW: self.owner.book.rev}, {})
         except Conflict:
             return False
         return True
@@ -236,9 +236,9 @@
                 log.info(
                     "%s, %d jobs, %s: %s",
                     "leading" if self.owner.leading else "following",
-                    len(self.owner.accepted),
-                    self.owner.gauge(),
-                    self.owner.meters.line(now - told),
+                    len(self.owner.inbox.accepted),
+                    self.owner.book.gauge(),
+                    self.owner.around.meters.line(now - told),
                 )
                 told = now
             if now - ticked >= TICK_S:
@@ -251,7 +251,7 @@
         """Learn the machine types, and keep them in the store for outages of the cloud."""
         while True:
             try:
-                if not self.owner.flavors:
+                if not self.owner.inbox.flavors:
                     flavors = await self.cloud.flavors()
                     value = {"types": [msgspec.to_builtins(f) for f in flavors]}
                     rev = await self.store.sure_commit(
@@ -263,7 +263,7 @@
                     await asyncio.sleep(PRICES_S)
             except (Unavailable, Conflict) as error:
                 log.debug("types: %s", error)
-            await asyncio.sleep(0.3 if not self.owner.flavors else 1.0)
+            await asyncio.sleep(0.3 if not self.owner.inbox.flavors else 1.0)
 
     async def _listing(self) -> None:
         while True:
--- /dev/null
+++ b/coveflow/daemon/planning.py
@@ -0,0 +1,130 @@
+"""When a leader plans, with what it knows then, and what becomes of the plan."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable
+
+from coveflow import constants as c
+from coveflow.core import planner, scene
+from coveflow.core.model import Job
+from coveflow.daemon.around import Around
+from coveflow.daemon.book import Book
+from coveflow.daemon.inbox import Inbox
+
+log = logging.getLogger("coveflow.owner")
+
+
+class Planning:
+    def __init__(
+        self,
+        around: Around,
+        inbox: Inbox,
+        book: Book,
+        cycle_over: Callable[[float], None],
+    ) -> None:
+        self.around, self.inbox, self.book = around, inbox, book
+        self.cycle_over = cycle_over  # renting goes by what a full cycle lacked
+        params = around.settings.params
+        self.teams = {team.name: team for team in params.teams}
+        self.goals = scene.goals_of(params.objectives)
+        self.next_pass = 0.0
+        self.next_cycle = self.next_full = 0.0
+        self.last_cycle = self.last_regular = -math.inf
+
+    def due(self, now: float) -> None:
+        """Run the pass that is due, if any."""
+        if self.book.arrivals and now >= self.last_cycle + c.ARRIVAL_CYCLE_S:
+            self.next_cycle = now
+        if now >= self.next_cycle and now >= max(self.next_pass, self.next_full):
+            self._pass(now, full=True)
+        elif self.book.pass_due and now >= self.next_pass:
+            self._pass(now, full=False)
+
+    def _guess(self, job: Job) -> None:
+        """Guessed run time per task; a job's own finished tasks tell most."""
+        predictor = self.book.predictor
+        if job.run_count >= 3:
+            job.guess_s = job.run_sum / job.run_count
+        elif job.guess_of != predictor.version:
+            job.guess_of = predictor.version
+            job.guess_s = predictor.guess(job.spec)
+
+    def _state(self, now: float, wall: float) -> scene.State:
+        book = self.book
+        return scene.State(
+            jobs=list(book.jobs.values()),
+            machines=[m for m in book.machines.values() if book.heard_lately(m, now)],
+            teams=self.teams,
+            usage=book.usage(),
+            now=now,
+            where={m.id: m.zone for m in book.machines.values()},
+            arrived={job.id: now - max(0.0, wall - job.arrived) for job in book.jobs.values()},
+            goals=self.goals,
+            uses=frozenset(book.uses),
+            flavors=list(self.inbox.flavors.values()),
+            asked=[known.asked(now) for known in book.demand.values()],
+        )
+
+    def _pass(self, now: float, full: bool) -> None:
+        book, tuning = self.book, self.around.tuning
+        book.pass_due = False
+        started = self.around.clock()
+        wall = self.around.wall()
+        for job in book.jobs.values():
+            self._guess(job)
+        if full:
+            if now >= self.last_regular + tuning.cycle_s:
+                self.last_regular = now
+                self._grow_overruns(now)
+            self.next_cycle = now + tuning.cycle_s
+            self.last_cycle, book.arrivals = now, False
+        plan = planner.plan(
+            self._state(now, wall),
+            tuning,
+            {job.id: job.guess_s for job in book.jobs.values()},
+            c.MACHINE_PLACEMENTS,
+            None if full else book.plan.holds,
+        )
+        if full:
+            book.plan = plan
+        self._carry_out(plan, now)
+        if full:
+            self.cycle_over(now)
+        book.passed_at = now
+        book.hot.update(name for name, held in book.held.items() if held.for_commit)
+        took = self.around.clock() - started
+        self.around.meters.span("full pass" if full else "cheap pass", took)
+        self.around.meters.add("planning steps", plan.steps)
+        if full:
+            # Cheap passes go on meanwhile: rooms that fall free wait for nothing else.
+            self.next_full = now + c.PASS_PART * took
+            self.next_pass = now + took + c.EVENT_PASS_S
+        else:
+            self.next_pass = now + max(c.EVENT_PASS_S, c.PASS_PART * took)
+
+    def _carry_out(self, plan: planner.Plan, now: float) -> None:
+        book = self.book
+        for start in plan.starts:
+            job, m = book.jobs[start.job], book.machines[start.machine]
+            for _ in range(start.count):
+                p = job.place(m, now)
+                log.debug("task %s/%d try %d to %s", job.id, p.task, p.number, m.id)
+            m.idle_since = None
+            book.dirty_machines[m.id] = None
+            log.info("job %s: %d tasks to %s", job.id, start.count, m.id)
+        for name in plan.stops:
+            job = book.jobs[name]
+            log.info("job %s: stopped to free room for more urgent work", name)
+            job.preempted += 1
+            for p in job.placed.values():
+                p.stopping, p.grace_s = True, job.spec.save_s + 1.0
+                book.wake(p.machine)
+
+    def _grow_overruns(self, now: float) -> None:
+        for m in self.book.machines.values():
+            for p in m.placements.values():
+                guess = self.book.jobs[p.job].guess_s * m.speed
+                if p.since is not None and now - p.since > guess:
+                    p.overrun += 1
--- /dev/null
+++ b/coveflow/daemon/reports.py
@@ -0,0 +1,267 @@
+"""Workers' reports in, answers out: the evidence a leader goes by, and the orders it gives."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import logging
+
+from coveflow import constants as c
+from coveflow import wire
+from coveflow.core.model import Job, Machine, Order, Placement, Report
+from coveflow.daemon.around import Around
+from coveflow.daemon.book import Book
+from coveflow.daemon.commands import Heard, Held
+from coveflow.daemon.inbox import Inbox
+
+log = logging.getLogger("coveflow.owner")
+
+
+class Reports:
+    def __init__(self, around: Around, inbox: Inbox, book: Book) -> None:
+        self.around, self.inbox, self.book = around, inbox, book
+        self.params = around.settings.params
+        self.due: list[tuple[float, int, str]] = []  # ends of waiting, a heap
+        self.due_no = itertools.count()
+
+    # --- evidence ----------------------------------------------------------------------
+
+    def heard(self, command: Heard) -> None:
+        report, reply = command.report, command.reply
+        if reply.done():
+            return
+        book = self.book
+        if not book.leading:
+            reply.set_result(None)
+            return
+        now = self.around.clock()
+        m = book.machines.get(report.machine)
+        if report.machine in book.gone:
+            # A late report of a machine that was proven gone proves nothing any more.
+            reply.set_result(None)
+            return
+        if m is None:
+            flavor = self.inbox.flavors.get(report.type)
+            if flavor is None:
+                reply.set_result(None)
+                return
+            m = book.machines[report.machine] = Machine(
+                report.machine, report.address, flavor, report.zone, report.spot
+            )
+            m.born = now
+            m.owner = self.around.settings.name
+            book.fleet.up(m.id, now)
+            log.info("machine %s (%s, %s) is up", m.id, m.flavor.name, m.zone)
+        if m.address != report.address:
+            m.address = report.address
+        m.up = True
+        waiting = book.held.pop(m.id, None)
+        if waiting is not None and not waiting.reply.done():
+            # The worker gave that report up; an answer would not be read.
+            waiting.reply.set_result(None)
+        if (report.tenure, report.counter) <= (m.tenure, m.counter) and m.counter >= 0:
+            # Late: its task list is as old as the report. It is answered, not believed.
+            reply.set_result(wire.orders_answer(book.leading, []))
+            return
+        if report.tenure < m.tenure:
+            reply.set_result(wire.orders_answer(book.leading, []))
+            return
+        if report.tenure > m.tenure:
+            # A new tenure: the worker has killed and forgotten all it ran before.
+            book.lost(m, "the machine's lease ran out")
+            m.tenure = report.tenure
+        m.counter, m.epoch, m.heard = report.counter, report.epoch, now
+        if report.notice_s is not None:
+            ends = now + report.notice_s
+            if m.ends_at is None:
+                log.info("machine %s will be taken in %.0f s", m.id, report.notice_s)
+            m.ends_at = ends if m.ends_at is None else min(m.ends_at, ends)
+        news = self._tasks(m, report, now)
+        self._drain(m, now)
+        self._answer_or_hold(m, report, reply, news, now, command.patient)
+
+    def _tasks(self, m: Machine, report: Report, now: float) -> bool:
+        """Take in the report's task list; whether it proves any end."""
+        news = False
+        seen: set[tuple[str, int, int]] = set()
+        for t in report.tasks:
+            key = (t.job, t.task, t.number)
+            seen.add(key)
+            p = m.placements.get(key)
+            if p is None:
+                continue
+            if t.state == "exited":
+                news = True
+                self._exited(m, p, t.why or "", t.saved, now)
+                continue
+            p.state = t.state
+            if t.state == "running" and p.since is None:
+                p.since = now
+        for p in [p for p in m.placements.values() if p.key not in seen]:
+            # Absence proves that the run never started only if the worker has already taken
+            # the current epoch (so no older leader's answer can still reach it) and this
+            # report is newer than the one whose answer last carried the run.
+            if p.stopping and report.epoch == self.book.leading and report.counter > p.sent:
+                news = True
+                self.book.end(p, False, "never started")
+        return news
+
+    def _exited(self, m: Machine, p: Placement, why: str, saved: bool, now: float) -> None:
+        job = self.book.jobs[p.job]
+        done = why == "done"
+        # A task that went on from a checkpoint ran only part of its work here.
+        fresh = job.spec.checkpoint_s <= 0 or p.number == 1
+        if done and p.since is not None and fresh:
+            run_s = max(now - p.since, 0.1)
+            if job.run_count >= 5:
+                # Only a job whose own tasks were seen says something about a machine's speed.
+                m.speed_n += 1
+                ratio = min(max(run_s * job.run_count / job.run_sum, 0.3), 4.0)
+                m.speed += (ratio - m.speed) / min(m.speed_n + 4, 20)
+            job.run_sum += run_s
+            job.run_count += 1
+        self.book.end(p, done, why)
+        self.book.gang_ended(p, done)
+        if done and p.placed_at > m.failed_at:
+            m.failed_jobs.clear()  # it completes what it starts
+        elif why == "error":
+            self._failed(m, job, now)
+        elif why in ("full", "busy", "unknown"):
+            job.not_before = max(job.not_before, now + 1.0)
+
+    def _failed(self, m: Machine, job: Job, now: float) -> None:
+        """A task failed: blame the machine if it fails much, the job if it fails anywhere.
+
+        A machine that fails every task at once is always free again and drew all the work to
+        it; the jobs, counted out by their failures there, waited for up to a minute.
+        """
+        machines = self.book.machines
+        job.bad_machines.add(m.id)
+        m.failed_at = now
+        if not job.errors:
+            m.failed_jobs[job.id] = m.failed_jobs.get(job.id, 0) + 1
+        alone = bool(job.done) and m.failed_jobs.get(job.id, 0) >= c.SUSPECT_TASKS
+        if not m.suspect and (len(m.failed_jobs) >= c.SUSPECT_JOBS or alone):
+            m.suspect = True
+            log.warning("machine %s: tasks of %d jobs failed", m.id, len(m.failed_jobs))
+        sound = [n for n in job.bad_machines if n in machines and not machines[n].suspect]
+        if job.done or now < job.not_before:
+            return  # tasks that failed together count once
+        if job.errors or len(sound) >= c.ERROR_MACHINES:
+            job.errors += 1
+            job.not_before = now + min(
+                c.ERROR_BACKOFF_S * 2 ** min(job.errors, 10), c.ERROR_BACKOFF_MAX_S
+            )
+            if len(job.bad_machines) >= max(c.ERROR_MACHINES, len(machines) // 2):
+                job.bad_machines.clear()  # it fails everywhere: no machine is to blame
+
+    def _drain(self, m: Machine, now: float) -> None:
+        """Save what can be saved before the cloud takes a spot machine."""
+        if m.ends_at is None:
+            return
+        for p in m.placements.values():
+            job = self.book.jobs[p.job]
+            if p.stopping or job.spec.checkpoint_s <= 0:
+                continue
+            # The notice may be half as long as announced, so saving starts by half time.
+            if m.ends_at - now <= 2 * (job.spec.save_s + c.DRAIN_SPARE_S):
+                p.stopping, p.grace_s = True, job.spec.save_s + 1.0
+
+    # --- answers -----------------------------------------------------------------------
+
+    def _answer_or_hold(
+        self,
+        m: Machine,
+        report: Report,
+        reply: asyncio.Future[bytes | None],
+        news: bool,
+        now: float,
+        patient: bool,
+    ) -> None:
+        held = Held(report, reply, 0.0, news, now)
+        if news:
+            # The commit of these ends will often bring the next run for the same worker.
+            held.until = now + c.HOLD_ANSWER_S
+            self.book.pass_due = True
+        elif patient and not self._orders(m, report, peek=True) and self._may_wait(m):
+            held.until = now + c.IDLE_ANSWER_PART * self.params.workers.report_s
+        if held.until > now:
+            self.book.held[m.id] = held
+            heapq.heappush(self.due, (held.until, next(self.due_no), m.id))
+        else:
+            self._answer(m, held)
+
+    def _may_wait(self, m: Machine) -> bool:
+        """A machine with room may be sent work in this answer if some turns up soon."""
+        return m.ends_at is None and not m.returning and m.cpus >= 0.5
+
+    def _answer(self, m: Machine, held: Held) -> None:
+        if held.reply.done():
+            return
+        orders = self._orders(m, held.report)
+        m.answered = self.around.clock()
+        held.reply.set_result(wire.orders_answer(self.book.leading, orders))
+
+    def _orders(self, m: Machine, report: Report, peek: bool = False) -> list[Order]:
+        """What the worker should do, given what it last said. `run` and `clear` go only here."""
+        orders: list[Order] = []
+        present: set[tuple[str, int, int]] = set()
+        for t in report.tasks:
+            key = (t.job, t.task, t.number)
+            present.add(key)
+            p = m.placements.get(key)
+            if t.state == "exited":
+                # An end is cleared only after its commit: the report is its only proof.
+                if p is None and key not in m.clearing:
+                    orders.append(Order("clear", *key))
+            elif p is None:
+                if key not in m.clearing and report.epoch == self.book.leading:
+                    log.warning("machine %s runs %s/%d try %d unasked", m.id, *key)
+                    orders.append(Order("stop", *key))
+            elif p.stopping and (t.state != "flushing" or p.grace_s <= 0):
+                orders.append(Order("stop", *key, grace_s=p.grace_s))
+        for p in m.placements.values():
+            if p.committed and not p.stopping and p.key not in present:
+                if p.tenure != m.tenure or self.book.jobs[p.job].cancelled is not None:
+                    continue
+                orders.append(Order("run", *p.key))
+                if not peek:
+                    if p.sent < 0:
+                        waited = self.around.clock() - p.placed_at
+                        self.around.meters.span("placed to told", waited)
+                    p.sent = report.counter
+        return orders
+
+    def flush(self, now: float) -> None:
+        """Answer what is ready or has waited long enough, without a look at the rest."""
+        book = self.book
+        look, book.hot = book.hot, set()
+        while self.due and self.due[0][0] <= now:
+            look.add(heapq.heappop(self.due)[2])
+        for machine in look:
+            held = book.held.get(machine)
+            if held is None:
+                continue
+            m = book.machines.get(machine)
+            if held.reply.done() or m is None:
+                del book.held[machine]
+                if not held.reply.done():
+                    held.reply.set_result(None)
+                continue
+            if held.for_commit:
+                # With the ends goes the next run: an answer sent between the commit of an end
+                # and the next pass left the room empty until the following report.
+                ready = (
+                    not m.clearing
+                    and machine not in book.dirty_machines
+                    and book.passed_at >= held.since
+                )
+            else:
+                ready = any(
+                    p.committed and not p.stopping and p.sent < held.report.counter and not p.state
+                    for p in m.placements.values()
+                )
+            if ready or now >= held.until:
+                del book.held[machine]
+                self._answer(m, held)
--- /dev/null
+++ b/coveflow/daemon/restore.py
@@ -0,0 +1,77 @@
+"""Taking the lead: the book as an earlier leader's records leave it."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+from coveflow.core.model import Machine, Placement, unranges
+from coveflow.daemon.book import Book
+from coveflow.daemon.commands import CHUNK, FLOOR, HISTORY, MACHINE
+from coveflow.daemon.inbox import Inbox
+from coveflow.state.records import Unreadable
+
+log = logging.getLogger("coveflow.owner")
+
+
+def restore(book: Book, inbox: Inbox, rows: list[tuple[str, Any, int]], now: float) -> int:
+    """Fill an empty book from the records; the revision of the histories (0: none).
+
+    Raises Unreadable where the records are damaged, of another layout, or name a machine type
+    that is not known yet: a leader with a part of the state would start again what it forgot.
+    """
+    history_rev = 0
+    slots = []
+    for key, value, rev in rows:
+        if key == HISTORY:
+            history_rev = rev
+            book.predictor.load(value)
+        else:
+            slots.append((key, value, rev))
+    book.records.load(slots)
+    for entry in inbox.accepted.values():
+        book.adopt(entry)
+    for item, value in book.records.values.items():
+        kind, rest = item[:2], item[2:]
+        if kind == FLOOR:
+            job = book.jobs.get(rest)
+            if job is not None:
+                job.floor = value
+        elif kind == CHUNK:
+            name, index = rest.rsplit("/", 1)
+            job = book.jobs.get(name)
+            if job is not None:
+                job.load_chunk(int(index), value)
+    for item, value in book.records.values.items():
+        if item.startswith(MACHINE):
+            _machine(book, inbox, item[len(MACHINE) :], value, now)
+    for job in book.jobs.values():
+        job.refill()
+        if job.over:
+            book.dirty_jobs[job.id] = None
+    return history_rev
+
+
+def _machine(book: Book, inbox: Inbox, name: str, value: list[Any], now: float) -> None:
+    owner, address, kind, zone, spot, tenure, tasks = value
+    flavor = inbox.flavors.get(kind)
+    if flavor is None:
+        raise Unreadable(f"machine {name} has an unknown type")
+    m = Machine(name, address, flavor, zone, spot)
+    m.owner, m.tenure = owner, tenure
+    m.heard = m.born = m.answered = now
+    m.up = True
+    book.machines[name] = m
+    for job_id, rows in tasks.items():
+        job = book.jobs.get(job_id)
+        if job is None:
+            log.error("machine %s records %s, which is over", name, job_id)
+            continue
+        for number, flat in rows:
+            for task in unranges(flat):
+                p = Placement(job_id, task, number, name, m.tenure, committed=True, placed_at=now)
+                m.placements[p.key] = p
+                m.take(job.spec)
+                job.attempts += 1
+                if task not in job.done or task not in job.placed:
+                    job.placed[task] = p
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -37,7 +37,7 @@
 def follower(answer, clock=lambda: 100.0):
     settings = node_settings("b", [])
     owner = o.Owner(settings, o.Tuning(), clock, clock)
-    owner.view = cm.View(3, "a", ["a", "b"], 1)
+    owner.inbox.view = cm.View(3, "a", ["a", "b"], 1)
     store = Mailbox(answer)
     peers = Peers(settings, None, clock, dict, None)
     store.agents = Agents(settings, owner, peers, clock, lambda: 100.0, store)
@@ -96,28 +96,28 @@
     word |= {"view": cm.view_value(cm.View(4, "b", ["b"], 12)), "view_rev": 12}
     peers._heard(peer, word, 8.9)
     owner.work([cm.InboxRows([(cm.VIEW, *row)]) for row in rows])
-    assert owner.leading == 0 and (owner.view.epoch, owner.view.leader) == (4, "b")
+    assert owner.leading == 0 and (owner.inbox.view.epoch, owner.inbox.view.leader) == (4, "b")
 
 
 def test_machines_that_a_leader_without_the_store_hears_are_not_silent():
     now = SimpleNamespace(t=50.0)
     agents = follower(lambda mail: {}, lambda: now.t)
     agents.store.contact = 40.0
-    agents.owner.leading = 3
+    agents.owner.book.leading = 3
     m = Machine("n-1", "", flavor(), "north", False)
     m.counter, m.heard = 5, 49.0
-    agents.owner.machines["n-1"] = m
+    agents.owner.book.machines["n-1"] = m
     assert agents.hears() == {"n-1": 1.0}
 
 
 def test_a_new_leader_waits_longer_for_machines_it_never_heard_while_a_node_is_out_of_reach():
     now = SimpleNamespace(t=0.0)
     owner = o.Owner(node_settings("b", []), o.Tuning(), lambda: now.t, lambda: now.t)
-    owner.leading = 4
-    m = owner.machines["n-1"] = Machine("n-1", "", flavor(), "north", False)
+    owner.book.leading = 4
+    m = owner.book.machines["n-1"] = Machine("n-1", "", flavor(), "north", False)
     returned = []
-    owner.on_effects = lambda kind, data: returned.append((now.t, kind, data))
-    owner.peers_known = lambda: False
+    owner.around.effects = lambda kind, data: returned.append((now.t, kind, data))
+    owner.around.peers_known = lambda: False
     for t in range(1, 60):
         now.t = float(t)
         owner.work([cm.Tick()])
@@ -125,7 +125,7 @@
     assert not [r for r in returned if r[1] == "return" and r[0] <= early]
     assert [r[2] for r in returned if r[1] == "return"] == [["n-1"]]
     m.returning, returned[:], now.t = False, [], 0.0
-    owner.peers_known = lambda: True
+    owner.around.peers_known = lambda: True
     now.t = early + 1.0
     owner.work([cm.Tick()])
     assert [r[2] for r in returned if r[1] == "return"] == [["n-1"]]
@@ -154,12 +154,12 @@
     """Its turn in the mail came only every 15 s, and 110 of a zone's machines were given back."""
     now = SimpleNamespace(t=0.0)
     owner = o.Owner(node_settings("b", []), o.Tuning(), lambda: now.t, lambda: now.t)
-    owner.leading = 4
+    owner.book.leading = 4
     for name in ("n-1", "n-2"):
-        m = owner.machines[name] = Machine(name, "", flavor(), "north", False)
+        m = owner.book.machines[name] = Machine(name, "", flavor(), "north", False)
         m.counter = 3
     returned = []
-    owner.on_effects = lambda kind, data: returned.append(data)
+    owner.around.effects = lambda kind, data: returned.append(data)
     now.t = 10.0
     owner.work([cm.Vouched(["n-1"])])
     now.t = LEASE_S + 2.0
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -108,7 +108,7 @@
 
     async def commit(guards, writes):
         rev = await honest(guards, writes)
-        del f.owner.accepted["j-1"]
+        del f.owner.inbox.accepted["j-1"]
         return rev
 
     f.store.commit = commit
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -7,7 +7,8 @@
 from coveflow import constants as c
 from coveflow.core import placing, planner
 from coveflow.daemon import commands as cm
-from coveflow.daemon import owner as o
+from coveflow.daemon.reports import Reports
+from coveflow.state.records import Records
 from tests.samples import spec
 from tests.world import Broken, World
 
@@ -123,15 +124,15 @@
 
 def test_the_world_notices_a_placement_without_proof():
     def tamper(world, name, owner):
-        honest = owner._tick
+        honest = owner.tick
 
         def impatient():
-            for m in list(owner.machines.values()):
+            for m in list(owner.book.machines.values()):
                 if world.now - m.heard > 4.0:  # time alone stands in for a proof
-                    owner._machine_gone(m.id, "silent")
+                    owner.keeper.gone(m.id, "silent")
             honest()
 
-        owner._tick = impatient
+        owner.tick = impatient
 
     with pytest.raises(Broken, match="ran_twice"):
         provoke(30, tamper)
@@ -167,9 +168,9 @@
     add_jobs(world, [(4, 1.0, 6)])
     world.run(2.5)
     leader = world.owners["a"]
-    placed = list(leader.jobs["j-000000"].placed.values())
+    placed = list(leader.book.jobs["j-000000"].placed.values())
     assert len(placed) == 4
-    lost = leader.machines[placed[0].machine]
+    lost = leader.book.machines[placed[0].machine]
     worker = world.workers[lost.id]
     worker.tasks.clear()
     worker.tenure += 1
@@ -186,7 +187,7 @@
     leader = world.owners["a"]
     assert set(world.told) == set(world.specs)
     assert "n-0" not in world.workers  # it went back
-    assert not any(m.suspect for m in leader.machines.values())
+    assert not any(m.suspect for m in leader.book.machines.values())
 
 
 def test_a_job_that_fails_everywhere_is_blamed_and_not_the_machines():
@@ -196,9 +197,9 @@
     for worker in world.workers.values():
         worker.sick_until = 20.0
     world.run(20.0)
-    job = world.owners["a"].jobs["j-000000"]
+    job = world.owners["a"].book.jobs["j-000000"]
     assert job.errors and job.not_before > 15.0
-    assert len(world.owners["a"].machines) >= 3
+    assert len(world.owners["a"].book.machines) >= 3
     world.run(200.0)
     assert world.told == {"j-000000": "done"}
 
@@ -241,24 +242,23 @@
             two_leaders(seed, unguarded)
 
 
-def test_the_world_notices_a_clear_before_its_commit():
-    def tamper(world, name, owner):
-        honest = owner._orders
+def test_the_world_notices_a_clear_before_its_commit(monkeypatch):
+    honest = Reports._orders
 
-        def hasty(m, report, peek=False):
-            held, m.clearing = m.clearing, set()
-            try:
-                return honest(m, report, peek)
-            finally:
-                m.clearing = held
+    def hasty(self, m, report, peek=False):
+        held, m.clearing = m.clearing, set()
+        try:
+            return honest(self, m, report, peek)
+        finally:
+            m.clearing = held
 
-        owner._orders = hasty
-        owner._answer_or_hold = lambda m, report, reply, *_: owner._answer(
-            m, cm.Held(report, reply, 0.0, False)
-        )
+    def at_once(self, m, report, reply, *_):
+        self._answer(m, cm.Held(report, reply, 0.0, False))
 
+    monkeypatch.setattr(Reports, "_orders", hasty)
+    monkeypatch.setattr(Reports, "_answer_or_hold", at_once)
     with pytest.raises(Broken, match="run after clear"):
-        provoke(60, tamper)
+        provoke(60, lambda world, name, owner: None)
 
 
 def test_a_leader_that_cannot_read_its_records_does_not_lead():
@@ -302,7 +302,7 @@
     world.run(25.0)
     world.crash("a")
     world.at(3.0, lambda: world.elect("b"))
-    meters = [owner.meters for owner in world.owners.values() if owner is not None]
+    meters = [owner.around.meters for owner in world.owners.values() if owner is not None]
     world.run(120.0)
     assert set(world.told) == set(world.specs)
     assert world.puts < 0.2 * 2 * world.starts
@@ -314,13 +314,13 @@
 
 def tamper_reading(monkeypatch, lose) -> None:
     """Every new leader reads its records through `lose`."""
-    honest = o.Records.load
+    honest = Records.load
 
     def load(self, rows):
         honest(self, rows)
         lose(self)
 
-    monkeypatch.setattr(o.Records, "load", load)
+    monkeypatch.setattr(Records, "load", load)
 
 
 def test_the_world_notices_a_reader_that_misses_the_newest_slot(monkeypatch):
@@ -339,8 +339,8 @@
         honest(self, item, value, slot, size)
         slot.live.discard(item)
 
-    honest = o.Records._set
-    monkeypatch.setattr(o.Records, "_set", forget)
+    honest = Records._set
+    monkeypatch.setattr(Records, "_set", forget)
     monkeypatch.setattr(c, "SLOTS_MIN", 2)
     monkeypatch.setattr(c, "SLOTS_SPARE", 0)
     monkeypatch.setattr(c, "SLOTS_TXN", 1)
--- a/tests/world.py
+++ b/tests/world.py
@@ -193,7 +193,7 @@
         owner = o.Owner(
             node_settings(name, self.teams), s.Tuning(), lambda: self.now, lambda: self.now
         )
-        owner.on_effects = lambda kind, data: self.effect(name, owner, kind, data)
+        owner.around.effects = lambda kind, data: self.effect(name, owner, kind, data)
         self.owners[name] = owner
         self.tamper(self, name, owner)
         owner.work([cm.InboxRows(self.rows(cm.INBOX), listed=self.rev)])
@@ -338,7 +338,7 @@
         if owner is None:
             return
         if not owner.leading:
-            leader = owner.view.leader
+            leader = owner.inbox.view.leader
             self.at(0.02, lambda: self.redirected(worker, report.counter, leader))
             return
         reply: asyncio.Future[bytes | None] = self.loop.create_future()
