--- /dev/null
+++ b/coveflow/cli/main.py
@@ -0,0 +1,67 @@
+"""`coveflow`: the entry point. Each sub-command's module is imported when it is called."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+
+try:
+    import click
+except ModuleNotFoundError:
+    sys.exit("coveflow: the toolbox is not installed; python -m pip install 'coveflow[tools]'")
+
+from coveflow import __version__, forms, logs
+from coveflow import settings as s
+from coveflow.cli.errors import UserError
+
+# Sub-command: where it is and what it is for; the text stands here so that --help loads nothing.
+COMMANDS = {
+    "run": ("coveflow.cli.daemon:run", "Run a controller."),
+    "check": ("coveflow.cli.daemon:check", "Check settings, tuning, lab and change files."),
+}
+
+
+class Lazy(click.Group):
+    """A group that knows its commands by name and imports one when it is called."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return list(COMMANDS)
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in COMMANDS:
+            return None
+        module, _, attribute = COMMANDS[name][0].partition(":")
+        return getattr(importlib.import_module(module), attribute)
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        with formatter.section("Commands"):
+            formatter.write_dl([(name, text) for name, (_, text) in COMMANDS.items()])
+
+
+@click.group(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="coveflow")
+def cli() -> None:
+    """A cluster scheduler that plans with predicted runtimes, and the tools round it.
+
+    LOG_LEVEL (error, info, debug) and LOG_FORMAT (text, json) govern the log on standard error.
+    """
+    logs.configure()
+
+
+def main() -> None:
+    """Run; what a user did wrong is one line and status 2, never a traceback."""
+    try:
+        cli(standalone_mode=False)
+    except click.exceptions.Exit as stop:
+        sys.exit(stop.exit_code)
+    except click.Abort:
+        sys.exit(130)
+    except click.ClickException as error:
+        error.show()
+        sys.exit(error.exit_code)
+    except (s.SettingsError, forms.FormError, UserError) as error:
+        click.echo(f"coveflow: {error}", err=True)
+        sys.exit(2)
+    except KeyboardInterrupt:
+        sys.exit(130)
+
--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Callable
 from typing import Any
 
@@ -16,12 +15,13 @@
 from coveflow.daemon.commands import MAIL, REPLY, VIEW, Heard, Vouched
 from coveflow.daemon.owner import Owner
 from coveflow.daemon.peers import RELAY, Peers
+from coveflow.logs import Log
 from coveflow.net.http import Unavailable
 from coveflow.settings import Settings
 from coveflow.state import records
 from coveflow.state.store import Conflict, Store
 
-log = logging.getLogger("coveflow.agents")
+log = Log("coveflow.agents")
 
 ANSWER_S = 3.5  # s after which an answer to a report would not be read any more
 MAIL_PACE_S = 0.4  # s between two mails, so that a zone's reports share a write
@@ -124,7 +124,7 @@
                 if status == 200:
                     return web.Response(body=answer)
             except Unavailable as error:
-                log.debug("relay for %s: %s", machine, error)
+                log.debug("relay failed", machine=machine, why=error)
             if self.clock() - now > c.RELAY_TIMEOUT_S / 2:
                 # No time is left for the mail: the worker would give this node up.
                 return self._keep_alive(report, now)
@@ -188,7 +188,7 @@
             try:
                 await self.store.commit({}, {MAIL + self.settings.name: value})
             except (Unavailable, Conflict) as error:
-                log.debug("mail: %s", error)
+                log.debug("mail failed", why=error)
             await asyncio.sleep(MAIL_PACE_S)
 
     def replied(self, value: dict[str, Any]) -> None:
@@ -225,7 +225,7 @@
         try:
             await self.store.commit({VIEW: self.owner.book.rev}, {REPLY + member: reply})
         except (Unavailable, Conflict) as error:
-            log.debug("reply to %s: %s", member, error)
+            log.debug("reply failed", member=member, why=error)
 
     def _stops(self, report: Report) -> list[Order]:
         """Only stops, and only for jobs known to be cancelled: nothing else is this node's."""
--- a/coveflow/daemon/book.py
+++ b/coveflow/daemon/book.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import logging
 import math
 from collections import OrderedDict
 
@@ -17,9 +16,10 @@
 from coveflow.core.model import Job, Machine, Placement
 from coveflow.daemon.around import Around
 from coveflow.daemon.commands import SLOT, Accepted, End, Held
+from coveflow.logs import Log
 from coveflow.state.records import Records
 
-log = logging.getLogger("coveflow.owner")
+log = Log("coveflow.owner")
 
 
 class Book:
@@ -66,18 +66,18 @@
             self.arrivals = True
             self._asked(job)
             log.info(
-                "job %s: %d tasks of %s (%g CPUs each%s) for %s",
-                job.id,
-                job.spec.tasks,
-                job.spec.workload,
-                job.spec.cpus,
-                ", spot too" if job.spec.spot else "",
-                job.spec.team,
+                "job taken in",
+                job=job.id,
+                tasks=job.spec.tasks,
+                workload=job.spec.workload,
+                cpus=job.spec.cpus,
+                spot=job.spec.spot,
+                team=job.spec.team,
             )
         job.rev = max(job.rev, entry.rev)
         if entry.cancelled is not None and job.cancelled is None:
             job.cancelled = entry.cancelled
-            log.info("job %s: cancelled, %d tasks to end", job.id, len(job.placed))
+            log.info("job cancelled", job=job.id, tasks_to_end=len(job.placed))
             for p in job.placed.values():
                 p.stopping, p.grace_s = True, 0.0
                 self.wake(p.machine)
@@ -116,9 +116,11 @@
         self._dirty_task(job, p.task)
         self.dirty_machines[m.id] = None
         if not done:
-            log.info("task %s/%d try %d on %s: %s", p.job, p.task, p.number, m.id, why)
+            log.info(
+                "attempt ended", task=f"{p.job}/{p.task}", number=p.number, machine=m.id, why=why
+            )
         else:
-            log.debug("task %s/%d try %d on %s: done", p.job, p.task, p.number, m.id)
+            log.debug("attempt done", job=p.job, task=p.task, number=p.number, machine=m.id)
         if done and job.complete:
             self._completed(job)
 
@@ -157,10 +159,10 @@
 
     def _completed(self, job: Job) -> None:
         log.info(
-            "job %s: all %d tasks done after %.1f s",
-            job.id,
-            job.spec.tasks,
-            self.around.wall() - job.arrived,
+            "all tasks done",
+            job=job.id,
+            tasks=job.spec.tasks,
+            after_s=self.around.wall() - job.arrived,
         )
         if job.run_count and job.spec.kind != "service":
             self.predictor.observe(job.spec, job.run_sum / job.run_count)
--- a/coveflow/daemon/commits.py
+++ b/coveflow/daemon/commits.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 
 from coveflow import constants as c
@@ -22,9 +21,10 @@
     Txn,
 )
 from coveflow.daemon.inbox import Inbox
+from coveflow.logs import Log
 from coveflow.state.records import Draft
 
-log = logging.getLogger("coveflow.owner")
+log = Log("coveflow.owner")
 
 
 class Commits:
@@ -192,7 +192,7 @@
             self._forget_machine(m)
         for job in txn.finished:
             status = txn.writes[OLD + job.id]["status"]
-            log.info("job %s: %s", job.id, status)
+            log.info("job over", job=job.id, status=status)
             book.jobs.pop(job.id, None)
             book.unsettled.pop(job.id, None)
             self.inbox.ended(job.id, status, len(job.done), rev)
@@ -223,7 +223,7 @@
             return
         if any(not key.startswith(JOB) for key in failed) or not failed:
             # A record only the leader writes is not as it left it: start again from the store.
-            log.error("unexpected conflict on %s", failed)
+            log.error("unexpected conflict", keys=failed)
             self.step_down("its records changed")
             self.around.effects("retake", None)
             return
--- a/coveflow/daemon/front.py
+++ b/coveflow/daemon/front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -16,11 +15,12 @@
 from coveflow.daemon import commands as cm
 from coveflow.daemon import owner as o
 from coveflow.daemon.peers import Peers
+from coveflow.logs import Log
 from coveflow.net.http import Unavailable
 from coveflow.settings import Settings
 from coveflow.state.store import Conflict, Store
 
-log = logging.getLogger("coveflow.front")
+log = Log("coveflow.front")
 
 SUBMIT_S = 2.0  # s a submission may spend on the store before the user is told to come back
 POLL_S = 1.2  # s a poll may; users wait 2 s
@@ -76,7 +76,7 @@
         except TooLarge:
             return web.Response(status=413, headers={"Connection": "close"})
         except Unavailable as error:
-            log.debug("%s %s: %s", method, path, error)
+            log.debug("not answered", method=method, path=path, why=error)
             return web.Response(status=503, headers=BUSY)
 
     def healthy(self) -> bool:
@@ -112,7 +112,7 @@
         record = {"spec": msgspec.to_builtins(spec), "at": self.wall()}
         accepted = await self.accept(spec.id, record)
         if accepted:
-            log.info("job %s: accepted", spec.id)
+            log.info("job accepted", job=spec.id)
             return answer(201, wire.job_answer(spec.id, "queued"))
         known = await self.status(spec.id)
         if known is None:
@@ -301,7 +301,7 @@
                 self.owner.put(cm.InboxRows([(cm.JOB + name, value, rev)]))
             # Peers must learn of it from this process before its user does.
             self.cancels[name] = self.clock()
-            log.info("job %s: cancelled by its user", name)
+            log.info("job cancelled by its user", job=name)
             return answer(200, wire.job_answer(name, "cancelled"))
 
     def recent_cancels(self) -> list[str]:
--- a/coveflow/daemon/inbox.py
+++ b/coveflow/daemon/inbox.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
@@ -22,8 +21,9 @@
     InboxRows,
     View,
 )
+from coveflow.logs import Log
 
-log = logging.getLogger("coveflow.owner")
+log = Log("coveflow.owner")
 
 
 class Inbox:
@@ -60,7 +60,7 @@
         if key == VIEW:
             if value is not None and rev > self.view.rev:
                 self.view = View(value["epoch"], value["leader"], value["members"], rev)
-                log.info("view: epoch %d, leader %s", self.view.epoch, self.view.leader)
+                log.info("view", epoch=self.view.epoch, leader=self.view.leader)
         elif key == TYPES:
             if value is not None and rev > self.types_rev:
                 self.types_rev = rev
--- a/coveflow/daemon/keeper.py
+++ b/coveflow/daemon/keeper.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import logging
-
 from coveflow import constants as c
 from coveflow.core import scene
 from coveflow.core.model import Listed
 from coveflow.daemon.around import Around
 from coveflow.daemon.book import Book
 from coveflow.daemon.inbox import Inbox
+from coveflow.logs import Log
 
-log = logging.getLogger("coveflow.owner")
+log = Log("coveflow.owner")
 
 
 class Keeper:
@@ -50,7 +49,7 @@
         for name in drains:
             m = book.machines[name]
             m.draining = True
-            log.info("machine %s drains: %d tasks move", name, len(m.placements))
+            log.info("machine drains", machine=name, tasks=len(m.placements))
             for p in m.placements.values():
                 p.stopping, p.grace_s = True, book.jobs[p.job].spec.save_s + 1.0
             book.wake(name)
@@ -60,7 +59,7 @@
             m = self.book.machines.get(name)
             if m is not None:
                 m.returning = True
-            log.info("machine %s goes back: %s", name, why)
+            log.info("machine goes back", machine=name, why=why)
         self.around.effects("return", names)
 
     def tick(self, now: float) -> None:
--- a/coveflow/daemon/membership.py
+++ b/coveflow/daemon/membership.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Callable
 from typing import Any
 
 from coveflow import constants as c
 from coveflow.daemon import commands as cm
 from coveflow.daemon import owner as o
+from coveflow.logs import Log
 from coveflow.net.http import Unavailable
 from coveflow.settings import Settings
 from coveflow.state.store import Conflict, Expired, Store, TooOld
 
-log = logging.getLogger("coveflow.membership")
+log = Log("coveflow.membership")
 
 
 class Membership:
@@ -53,7 +53,7 @@
                 self.grant = None
                 continue
             except (Unavailable, ValueError, Conflict) as error:
-                log.debug("hold: %s", error)
+                log.debug("hold failed", why=error)
                 await asyncio.sleep(c.RETRY_S)
                 continue
             await asyncio.sleep(c.HOLD_RENEW_S)
@@ -61,7 +61,7 @@
     async def _resign(self, key: str) -> None:
         if self.grant is None:
             return
-        log.warning("cut off from workers and peers: leaving the view")
+        log.warning("leaving the view", why="cut off from workers and peers")
         await self.store.commit({}, {key: None})
         self.grant = None
 
@@ -86,7 +86,7 @@
             except TooOld:
                 after = None
             except (Unavailable, Conflict) as error:
-                log.debug("inbox: %s", error)
+                log.debug("inbox failed", why=error)
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, c.RETRY_MAX_S)
 
@@ -138,7 +138,7 @@
             await asyncio.sleep(c.WATCH_PACE_S)
             return await self._list()
         self.retake = False
-        log.info("taking over with epoch %d", epoch)
+        log.info("taking over", epoch=epoch)
         await self._tell([(cm.VIEW, value, rev)], None)
         # Whatever an older leader had under way fails on the view from here on, so what is
         # read now is final but for what users add.
--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 import uuid
 from collections.abc import Coroutine
@@ -21,12 +20,13 @@
 from coveflow.daemon.front import Front
 from coveflow.daemon.membership import Membership
 from coveflow.daemon.peers import Peers
+from coveflow.logs import Log
 from coveflow.net.cloud import Cloud, NoCapacity
 from coveflow.net.http import Unavailable
 from coveflow.settings import Settings, Tuning, address
 from coveflow.state.store import Conflict, Store
 
-log = logging.getLogger("coveflow.node")
+log = Log("coveflow.node")
 
 TIMER_S = 0.05  # s between looks at what is due; well below every planning interval
 TICK_S = 0.5  # s between checks of silence, cancellations and late machines
@@ -181,7 +181,7 @@
         """Ask under one fresh name until it is answered; a name is never used twice."""
         name = f"{self.settings.name}-{uuid.uuid4().hex}"
         pause = c.RETRY_S
-        log.info("asking for %s", want.label())
+        log.info("asking for machines", what=want.label())
         while True:
             try:
                 if not await self._still_leading():
@@ -195,7 +195,7 @@
                 self.owner.put(cm.Refused(want))
                 return
             except Unavailable as error:
-                log.debug("rent: %s", error)
+                log.debug("rent failed", why=error)
             await asyncio.sleep(pause)
             pause = min(pause * 2, c.RETRY_MAX_S)
 
@@ -209,7 +209,7 @@
                 self.owner.put(cm.Returned(machines))
                 return
             except Unavailable as error:
-                log.debug("return: %s", error)
+                log.debug("return failed", why=error)
             await asyncio.sleep(pause)
             pause = min(pause * 2, c.RETRY_MAX_S)
 
@@ -234,11 +234,11 @@
             now = self.clock()
             if now - told >= METERS_S:
                 log.info(
-                    "%s, %d jobs, %s: %s",
-                    "leading" if self.owner.leading else "following",
-                    len(self.owner.inbox.accepted),
-                    self.owner.book.gauge(),
-                    self.owner.around.meters.line(now - told),
+                    "meters",
+                    leading=bool(self.owner.leading),
+                    jobs=len(self.owner.inbox.accepted),
+                    fleet=self.owner.book.gauge(),
+                    spent=self.owner.around.meters.line(now - told),
                 )
                 told = now
             if now - ticked >= TICK_S:
@@ -262,7 +262,7 @@
                     self.owner.put(cm.Prices(await self.cloud.flavors()))
                     await asyncio.sleep(PRICES_S)
             except (Unavailable, Conflict) as error:
-                log.debug("types: %s", error)
+                log.debug("types not read", why=error)
             await asyncio.sleep(0.3 if not self.owner.inbox.flavors else 1.0)
 
     async def _listing(self) -> None:
@@ -273,7 +273,7 @@
             try:
                 self.owner.put(cm.CloudList(await self.cloud.machines()))
             except Unavailable as error:
-                log.debug("machine list: %s", error)
+                log.debug("machine list not read", why=error)
 
     async def run(self) -> None:
         servers = []
@@ -287,7 +287,10 @@
             await web.TCPSite(runner, host, port, reuse_address=True, backlog=256).start()
             servers.append(runner)
         log.info(
-            "%s in %s serves at %s", self.settings.name, self.settings.zone, self.settings.front
+            "serving",
+            name=self.settings.name,
+            zone=self.settings.zone,
+            front=self.settings.front,
         )
         loops = [
             self.owner.run(),
--- a/coveflow/daemon/owner.py
+++ b/coveflow/daemon/owner.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import math
 from collections.abc import Callable
 
@@ -37,11 +36,12 @@
 from coveflow.daemon.planning import Planning
 from coveflow.daemon.reports import Reports
 from coveflow.daemon.restore import restore
+from coveflow.logs import Log
 from coveflow.net.meters import Meters
 from coveflow.settings import Settings, Tuning
 from coveflow.state.records import Unreadable
 
-log = logging.getLogger("coveflow.owner")
+log = Log("coveflow.owner")
 
 
 class Owner:
@@ -100,7 +100,7 @@
         try:
             work()
         except Exception:
-            log.exception("%s failed", what)
+            log.exception("command failed", what=what)
             if self.leading:
                 self.step_down("its state may be wrong")
                 self.around.effects("retake", None)
@@ -136,7 +136,7 @@
             case Rented():
                 book.fleet.rented(command.want, command.machines, now)
                 book.fleet_due = True
-                log.info("rented %s: %s", command.want.label(), " ".join(command.machines))
+                log.info("rented", what=command.want.label(), machines=command.machines)
             case Refused():
                 book.fleet.refused(command.want, now)
                 book.fleet_due = True
@@ -170,7 +170,7 @@
     def _lead(self, command: Lead) -> None:
         view = self.inbox.view
         if (view.epoch, view.leader) != (command.epoch, self.around.settings.name):
-            log.info("epoch %d is over before it began", command.epoch)
+            log.info("epoch over before it began", epoch=command.epoch)
             return
         self._new_book()
         book, now = self.book, self.around.clock()
@@ -182,19 +182,14 @@
             raise
         # Last of all: with a part of its state a leader would start again what it forgot.
         book.leading, book.rev = command.epoch, command.rev
-        log.info(
-            "leading epoch %d: %d jobs, %d machines recorded",
-            book.leading,
-            len(book.jobs),
-            len(book.machines),
-        )
+        log.info("leading", epoch=book.leading, jobs=len(book.jobs), machines=len(book.machines))
         book.pass_due = True
         self.planning.next_pass = now + min(1.0, self.around.settings.params.workers.report_s)
 
     def step_down(self, why: str) -> None:
         if not self.leading:
             return
-        log.info("no longer leading epoch %d: %s", self.leading, why)
+        log.info("no longer leading", epoch=self.leading, why=why)
         held = list(self.book.held.values())
         self._new_book()
         for waiting in held:
--- a/coveflow/daemon/peers.py
+++ b/coveflow/daemon/peers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import uuid
 from collections.abc import Callable
 from typing import Any
@@ -14,10 +13,11 @@
 
 from coveflow import constants as c
 from coveflow import wire
+from coveflow.logs import Log
 from coveflow.net.http import Client, Unavailable
 from coveflow.settings import Member, Settings
 
-log = logging.getLogger("coveflow.peers")
+log = Log("coveflow.peers")
 
 PING, RELAY = "/ping", "/relay"
 
@@ -103,7 +103,7 @@
                 if status == 200:
                     self._heard(peer, wire.unpack(body), sent)
             except (Unavailable, wire.Malformed, KeyError, TypeError) as error:
-                log.debug("ping %s: %s", peer.member.name, error)
+                log.debug("ping failed", peer=peer.member.name, why=error)
             await asyncio.sleep(max(0.05, c.PING_S - (self.clock() - sent)))
 
     def _heard(self, peer: Peer, data: dict[str, Any], sent: float) -> None:
--- a/coveflow/daemon/planning.py
+++ b/coveflow/daemon/planning.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import math
 from collections.abc import Callable
 
@@ -12,8 +11,9 @@
 from coveflow.daemon.around import Around
 from coveflow.daemon.book import Book
 from coveflow.daemon.inbox import Inbox
+from coveflow.logs import Log
 
-log = logging.getLogger("coveflow.owner")
+log = Log("coveflow.owner")
 
 
 class Planning:
@@ -110,13 +110,13 @@
             job, m = book.jobs[start.job], book.machines[start.machine]
             for _ in range(start.count):
                 p = job.place(m, now)
-                log.debug("task %s/%d try %d to %s", job.id, p.task, p.number, m.id)
+                log.debug("task placed", job=job.id, task=p.task, number=p.number, machine=m.id)
             m.idle_since = None
             book.dirty_machines[m.id] = None
-            log.info("job %s: %d tasks to %s", job.id, start.count, m.id)
+            log.info("tasks placed", job=job.id, tasks=start.count, machine=m.id)
         for name in plan.stops:
             job = book.jobs[name]
-            log.info("job %s: stopped to free room for more urgent work", name)
+            log.info("job stopped for more urgent work", job=name)
             job.preempted += 1
             for p in job.placed.values():
                 p.stopping, p.grace_s = True, job.spec.save_s + 1.0
--- a/coveflow/cli.py
+++ b/coveflow/daemon/program.py
@@ -1,17 +1,14 @@
-"""The command line."""
+"""The daemon's own command line, kept apart from the toolbox so that it starts in no more time."""
 
 from __future__ import annotations
 
 import argparse
 import asyncio
-import logging
-import os
 import sys
 from pathlib import Path
 
-from coveflow import __version__
-
-LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+from coveflow import __version__, logs
+from coveflow import settings as s
 
 
 def parser() -> argparse.ArgumentParser:
@@ -32,43 +29,46 @@
     return p
 
 
+def check(path: Path) -> None:
+    """Read a settings or tuning file; SettingsError names what is wrong with it."""
+    if path.suffix == ".toml":
+        s.load(path)
+    else:
+        s.load_tuning(path)
+
+
+def serve(config: Path, tuning_file: Path | None = None) -> int:
+    """Run a controller until it is killed; exit status 130 after Ctrl-C."""
+    settings = s.load(config)
+    default = Path(sys.argv[0]).resolve().parent / "coveflow.scm"
+    tuning = s.Tuning()
+    if tuning_file is not None or default.exists():
+        tuning = s.load_tuning(tuning_file or default)
+    logs.configure()
+    from coveflow.daemon.node import Node
+
+    async def run() -> None:
+        await Node(settings, tuning).run()
+
+    try:
+        asyncio.run(run())
+    except KeyboardInterrupt:
+        return 130
+    return 0
+
+
 def main(argv: list[str] | None = None) -> int:
     p = parser()
     args = p.parse_args(argv)
-    from coveflow import settings as s
-
     try:
         if args.command == "check":
             for path in args.files:
-                if path.suffix == ".toml":
-                    s.load(path)
-                else:
-                    s.load_tuning(path)
+                check(path)
                 print(f"{path}: good")
             return 0
         if args.config is None:
             p.error("--config FILE or a command is needed")
-        settings = s.load(args.config)
-        default = Path(sys.argv[0]).resolve().parent / "coveflow.scm"
-        tuning = s.Tuning()
-        if args.tuning is not None or default.exists():
-            tuning = s.load_tuning(args.tuning or default)
+        return serve(args.config, args.tuning)
     except s.SettingsError as error:
         print(f"coveflow: {error}", file=sys.stderr)
         return 2
-    logging.basicConfig(
-        stream=sys.stderr,
-        level=LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO),
-        format="%(asctime)s %(levelname)s %(name)s %(message)s",
-    )
-    logging.getLogger("asyncio").setLevel(logging.WARNING)
-    from coveflow.daemon.node import Node
-
-    async def serve() -> None:
-        await Node(settings, tuning).run()
-
-    try:
-        asyncio.run(serve())
-    except KeyboardInterrupt:
-        return 130
-    return 0
--- a/coveflow/daemon/reports.py
+++ b/coveflow/daemon/reports.py
@@ -5,7 +5,6 @@
 import asyncio
 import heapq
 import itertools
-import logging
 
 from coveflow import constants as c
 from coveflow import wire
@@ -14,8 +13,9 @@
 from coveflow.daemon.book import Book
 from coveflow.daemon.commands import Heard, Held
 from coveflow.daemon.inbox import Inbox
+from coveflow.logs import Log
 
-log = logging.getLogger("coveflow.owner")
+log = Log("coveflow.owner")
 
 
 class Reports:
@@ -52,7 +52,7 @@
             m.born = now
             m.owner = self.around.settings.name
             book.fleet.up(m.id, now)
-            log.info("machine %s (%s, %s) is up", m.id, m.flavor.name, m.zone)
+            log.info("machine up", machine=m.id, type=m.flavor.name, zone=m.zone)
         if m.address != report.address:
             m.address = report.address
         m.up = True
@@ -75,7 +75,7 @@
         if report.notice_s is not None:
             ends = now + report.notice_s
             if m.ends_at is None:
-                log.info("machine %s will be taken in %.0f s", m.id, report.notice_s)
+                log.info("machine has notice", machine=m.id, in_s=report.notice_s)
             m.ends_at = ends if m.ends_at is None else min(m.ends_at, ends)
         news = self._tasks(m, report, now)
         self._drain(m, now)
@@ -144,7 +144,7 @@
         alone = bool(job.done) and m.failed_jobs.get(job.id, 0) >= c.SUSPECT_TASKS
         if not m.suspect and (len(m.failed_jobs) >= c.SUSPECT_JOBS or alone):
             m.suspect = True
-            log.warning("machine %s: tasks of %d jobs failed", m.id, len(m.failed_jobs))
+            log.warning("machine suspected", machine=m.id, failed_jobs=len(m.failed_jobs))
         sound = [n for n in job.bad_machines if n in machines and not machines[n].suspect]
         if job.done or now < job.not_before:
             return  # tasks that failed together count once
@@ -217,7 +217,9 @@
                     orders.append(Order("clear", *key))
             elif p is None:
                 if key not in m.clearing and report.epoch == self.book.leading:
-                    log.warning("machine %s runs %s/%d try %d unasked", m.id, *key)
+                    log.warning(
+                        "task runs unasked", machine=m.id, job=t.job, task=t.task, number=t.number
+                    )
                     orders.append(Order("stop", *key))
             elif p.stopping and (t.state != "flushing" or p.grace_s <= 0):
                 orders.append(Order("stop", *key, grace_s=p.grace_s))
--- a/coveflow/daemon/restore.py
+++ b/coveflow/daemon/restore.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Any
 
 from coveflow.core.model import Machine, Placement, unranges
 from coveflow.daemon.book import Book
 from coveflow.daemon.commands import CHUNK, FLOOR, HISTORY, MACHINE
 from coveflow.daemon.inbox import Inbox
+from coveflow.logs import Log
 from coveflow.state.records import Unreadable
 
-log = logging.getLogger("coveflow.owner")
+log = Log("coveflow.owner")
 
 
 def restore(book: Book, inbox: Inbox, rows: list[tuple[str, Any, int]], now: float) -> int:
@@ -65,7 +65,7 @@
     for job_id, rows in tasks.items():
         job = book.jobs.get(job_id)
         if job is None:
-            log.error("machine %s records %s, which is over", name, job_id)
+            log.error("a machine records a job that is over", machine=name, job=job_id)
             continue
         for number, flat in rows:
             for task in unranges(flat):
--- a/coveflow/net/http.py
+++ b/coveflow/net/http.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Callable
 
 import aiohttp
 
-log = logging.getLogger("coveflow.net")
-
 
 class Unavailable(Exception):
     """The other side did not execute the request, or nothing shows that it did."""
--- a/coveflow/settings.py
+++ b/coveflow/settings.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from coveflow import forms
+
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -93,6 +95,12 @@
     members: list[Member] = []
 
 
+class ClassRules(msgspec.Struct, frozen=True):
+    """What operators say of a class of jobs."""
+
+    repeat: bool = True  # an attempt that was lost or stopped may be made again
+
+
 class Tuning(msgspec.Struct, frozen=True, rename="kebab", forbid_unknown_fields=True):
     """What an operator may tune; one S-expression form `(key value)` each."""
 
@@ -108,6 +116,13 @@
     recent: Annotated[int, msgspec.Meta(ge=1, le=200)] = 20
     spare: NotNegative = 0.1
     idle_s: NotNegative = 20.0
+    trace: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0  # events kept for a recorder
+    classes: dict[str, ClassRules] = {}
+
+    def repeats(self, workload: str) -> bool:
+        """Whether work of the class may be stopped for other work, moved or made again."""
+        rules = self.classes.get(workload)
+        return rules is None or rules.repeat
 
 
 def address(text: str) -> tuple[str, int]:
@@ -151,32 +166,43 @@
 
 
 def parse_tuning(text: str, origin: str = "tuning") -> Tuning:
-    """Read `(coveflow (cycle-s 5) (estimators average median) ...)`."""
-    import sexpdata  # only operators with a file of their own pay for the import
-
+    """Read `(coveflow (cycle-s 5) (estimators average median) (class NAME (repeat no)) ...)`."""
     try:
-        form = sexpdata.loads(text)
-    except Exception as error:  # the parser raises several unrelated types
-        raise SettingsError(f"{origin}: not an S-expression: {error}") from error
-    if not isinstance(form, list) or not form or form[0] != sexpdata.Symbol("coveflow"):
-        raise SettingsError(f"{origin}: the form must be (coveflow (key value) ...)")
+        return _tuning(forms.read(text, origin, "coveflow"), origin)
+    except forms.FormError as error:
+        raise SettingsError(str(error)) from error
+
+
+def _tuning(items: list[Any], origin: str) -> Tuning:
     values: dict[str, Any] = {}
-    for item in form[1:]:
-        if not isinstance(item, list) or len(item) < 2 or not isinstance(item[0], sexpdata.Symbol):
-            raise SettingsError(f"{origin}: {sexpdata.dumps(item)} is not (key value)")
-        key = item[0].value()
+    classes: dict[str, ClassRules] = {}
+    for item in items:
+        key, words = forms.entry(item, origin)
+        if key == "class":
+            name, rules = _class(words, origin)
+            if name in classes:
+                raise SettingsError(f"{origin}: class {name} is given twice")
+            classes[name] = rules
+            continue
         if key in values:
             raise SettingsError(f"{origin}: {key} is given twice")
-        words = [part.value() if isinstance(part, sexpdata.Symbol) else part for part in item[1:]]
-        values[key] = words if key == "estimators" else words[0]
-        if key != "estimators" and len(words) != 1:
-            raise SettingsError(f"{origin}: {key} takes one value")
+        values[key] = words if key == "estimators" else forms.one(key, words, origin)
     try:
-        tuning = msgspec.convert(values, Tuning)
+        tuning = msgspec.convert({**values, "classes": {}}, Tuning)
     except msgspec.ValidationError as error:
         raise SettingsError(f"{origin}: {error}") from error
     known = {"average", "median", "decay", "recent"}
     unknown = [name for name in tuning.estimators if name not in known]
     if unknown or not tuning.estimators:
         raise SettingsError(f"{origin}: estimators must be among {sorted(known)}: {unknown}")
-    return tuning
+    return msgspec.structs.replace(tuning, classes=classes)
+
+
+def _class(words: list[Any], origin: str) -> tuple[str, ClassRules]:
+    if len(words) < 2 or not isinstance(words[0], str):
+        raise SettingsError(f"{origin}: a class is (class NAME (repeat no)), not {words}")
+    rules = forms.table(words[1:], f"{origin}: class {words[0]}")
+    unknown = sorted(set(rules) - {"repeat"})
+    if unknown:
+        raise SettingsError(f"{origin}: class {words[0]}: {unknown[0]} is not a rule; repeat is")
+    return words[0], ClassRules(forms.yes("repeat", rules["repeat"], f"{origin}: {words[0]}"))
--- a/run.py
+++ b/run.py
@@ -9,7 +9,7 @@
 # Nothing here speaks TLS, and loading it would take a quarter of the start-up time.
 sys.modules["ssl"] = None  # type: ignore[assignment]
 
-from coveflow.cli import main  # noqa: E402  (needs the paths above)
+from coveflow.daemon.program import main  # noqa: E402  (needs the paths above)
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from coveflow import cli
 from coveflow import settings as s
+from coveflow.daemon import program
 
 DEPLOY = """
 host_name = "host-0"
@@ -40,7 +40,7 @@
 def test_check_accepts_a_good_file_and_ignores_unknown_fields(tmp_path, capsys):
     path = tmp_path / "node.toml"
     path.write_text(DEPLOY)
-    assert cli.main(["check", str(path)]) == 0
+    assert program.main(["check", str(path)]) == 0
     assert "good" in capsys.readouterr().out
 
 
@@ -57,7 +57,7 @@
 def test_check_names_what_is_wrong_and_exits_with_2(tmp_path, capsys, old, new, named):
     path = tmp_path / "node.toml"
     path.write_text(DEPLOY.replace(old, new))
-    assert cli.main(["check", str(path)]) == 2
+    assert program.main(["check", str(path)]) == 2
     assert named in capsys.readouterr().err
 
 
