A lab: state service, cloud and workers by the protocol; demo; one world for the tests

Need: a newcomer could start nothing, as the settings name a state service and a cloud that nobody has; and workers, cloud and store were modelled inside the tests only. Change: models of the three without network or clock (lab), served over TCP as real processes with links that can cut, hold back, delay and refuse; seeded workloads and lab files, fault scripts and history as data; a checker that names each broken rule. coveflow lab demo, up, down. whatif.world plays the daemon's own owner against the same models in virtual time, and the tests' rough world is now that one with late, lost and repeated messages. Ruled out: workers as processes each, since tasks of a gang have to find each other; they share one and have ports of their own. Found on the way: the model took a task done before, started again with its image there, as still on its machine (quota seemed broken); the models' test has it. Two tests counted on machines that were given back idle.

--- /dev/null
+++ b/coveflow/cli/lab.py
@@ -0,0 +1,298 @@
+"""`coveflow lab`: stand-in clusters on this machine."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console, Group
+from rich.live import Live
+from rich.panel import Panel
+from rich.progress_bar import ProgressBar
+from rich.table import Table
+from rich.text import Text
+
+from coveflow.cli.errors import UserError
+from coveflow.lab import faults as fl
+from coveflow.lab import site as sites
+from coveflow.lab import workload
+from coveflow.lab.cluster import Cluster, LabError
+from coveflow.lab.evening import Evening
+
+SITES = Path(sites.__file__).parent / "sites"
+DEMO_S = 26.0  # s in which the demo's jobs arrive
+DEMO_KILL_S = 13.0  # s into the demo at which its leader is killed
+DEMO_MOST_S = 52.0  # s after which it stops waiting for what is left
+
+
+def lab_file(name: str) -> Path:
+    """A file, or one of the sites that come with the package by its name."""
+    path = Path(name)
+    if path.exists():
+        return path
+    there = SITES / f"{name}.scm"
+    if there.exists():
+        return there
+    known = ", ".join(sorted(p.stem for p in SITES.glob("*.scm")))
+    raise UserError(f"{name}: no such lab file; give a path or one of: {known}")
+
+
+def driven(work: Coroutine[Any, Any, Any]) -> Any:
+    """Run to the end; Ctrl-C and SIGTERM cancel it, so that it can end its processes."""
+
+    async def run() -> Any:
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for what in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(what, task.cancel)
+        return await work
+
+    try:
+        return asyncio.run(run())
+    except asyncio.CancelledError:
+        raise KeyboardInterrupt from None
+    except LabError as error:
+        raise UserError(str(error)) from error
+
+
+@click.group()
+def lab() -> None:
+    """Stand-in clusters on this machine: state service, cloud, workers, controllers."""
+
+
+@lab.command()
+@click.option("--folder", type=click.Path(path_type=Path), help="Keep logs and history there.")
+@click.option("--seed", type=int, default=7, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object at the end.")
+def demo(folder: Path | None, seed: int, as_json: bool) -> None:
+    """A small evening in under a minute: the leader is killed in the middle."""
+    with contextlib.ExitStack() as stack:
+        if folder is None:
+            folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="coveflow-")))
+        good = driven(_demo(folder, seed, as_json))
+    sys.exit(0 if good else 1)
+
+
+async def _demo(folder: Path, seed: int, as_json: bool) -> bool:
+    console = Console(stderr=as_json)
+    cluster = Cluster(lab_file("demo"), folder)
+    cluster.site.seed = seed
+    faults = [fl.Fault(DEMO_KILL_S, "kill", ("leader",))]
+    said: list[str] = []
+    evening = Evening(cluster, workload.draw(cluster.site, DEMO_S), faults, seen=said.append)
+    machines = sum(cluster.site.up.values())
+    console.print(
+        f"[bold]coveflow lab demo[/]: {cluster.site.controllers} controllers, {machines} machines,"
+        f" {len(evening.jobs)} jobs; its leader is killed after {DEMO_KILL_S:g} s"
+    )
+    try:
+        await cluster.start()
+        with Live(console=console, refresh_per_second=4, transient=True) as live:
+            show = asyncio.create_task(_show(live, cluster, evening, said))
+            await evening.run(DEMO_MOST_S)
+            show.cancel()
+        await asyncio.sleep(0.3)  # the workers' last rows
+        import aiohttp
+
+        async with aiohttp.ClientSession() as session:
+            state = await cluster.ask(session, "/lab/state")
+    finally:
+        await cluster.stop()
+    broken = evening.broken()
+    if as_json:
+        print(json.dumps(report(evening, broken, state, said)))
+    else:
+        console.print(jobs_table(evening))
+        for text in said:
+            console.print(f"[yellow]fault[/] {text}")
+        _verdict(console, evening, broken, state["paid"])
+    unfinished = [x for x in evening.courses.values() if x.status not in ("done", "cancelled")]
+    return not broken and not unfinished
+
+
+def report(evening: Evening, broken: list, state: dict[str, Any], said: list[str]) -> dict:
+    jobs = [
+        {
+            "job": x.spec.id, "class": x.spec.workload, "tasks": x.spec.tasks,
+            "status": x.status, "submitted_s": round(x.due - evening.began, 3),
+            "took_s": None if x.took_s is None else round(x.took_s, 3), "late": x.late,
+        }
+        for x in evening.courses.values()
+    ]  # fmt: skip
+    rules = [{"rule": b.rule, "at": b.at, "text": b.text} for b in broken]
+    return evening.summary() | {
+        "jobs": jobs, "broken": rules, "faults": said, "paid": state["paid"],
+    }  # fmt: skip
+
+
+def jobs_table(evening: Evening, newest: int | None = None) -> Table:
+    table = Table(box=None, header_style="bold", pad_edge=False)
+    columns = ("job", "class", "tasks", "submitted", "state", "done", "took", "deadline")
+    for name in columns:
+        right = name in ("tasks", "submitted", "done", "took", "deadline")
+        table.add_column(name, justify="right" if right else "left")
+    courses = list(evening.courses.values())
+    if newest is not None:
+        courses.sort(key=lambda x: (x.finished is not None, -x.due))
+        courses = courses[:newest]
+    for x in sorted(courses, key=lambda x: x.due):
+        deadline = "" if x.spec.deadline_s is None else f"{x.spec.deadline_s:.1f} s"
+        took = "" if x.took_s is None else f"{x.took_s:.1f} s"
+        style = {"done": "green", "running": "cyan", "refused": "red"}.get(x.status, "")
+        if x.late:
+            took = f"[red]{took} late[/]"
+        done = x.spec.tasks if x.status == "done" else x.done
+        table.add_row(
+            x.spec.id, x.spec.workload, str(x.spec.tasks), f"{x.due - evening.began:.1f} s",
+            f"[{style}]{x.status}[/]" if style else x.status, str(done), took, deadline,
+        )  # fmt: skip
+    return table
+
+
+async def _show(live: Live, cluster: Cluster, evening: Evening, said: list[str]) -> None:
+    import aiohttp
+
+    async with aiohttp.ClientSession() as session:
+        while True:
+            with contextlib.suppress(LabError, aiohttp.ClientError, OSError, TimeoutError):
+                state = await cluster.ask(session, "/lab/state")
+                leader = await cluster.leader(session)
+                live.update(_picture(cluster, evening, said, state, leader))
+            await asyncio.sleep(0.25)
+
+
+def _picture(
+    cluster: Cluster, evening: Evening, said: list[str], state: dict[str, Any], leader: str | None
+) -> Group:
+    fleet = Table(box=None, header_style="bold", pad_edge=False)
+    for name in ("machine", "type", "zone", "tasks"):
+        fleet.add_column(name)
+    fleet.add_column("", width=18)
+    for m in state["machines"]:
+        busy = [t for t in m["tasks"] if t[2] != "exited"]
+        running = sum(t[2] == "running" for t in busy)
+        fleet.add_row(
+            m["name"], m["type"], m["zone"], f"{running} of {len(busy)} run",
+            ProgressBar(total=m["cpus"], completed=min(len(busy), m["cpus"]), width=18),
+        )  # fmt: skip
+    nodes = Text("  ").join(
+        Text(f"{name}{' leads' if name == leader else ''}",
+             style="bold green" if name == leader else "")
+        for name in cluster.nodes
+    )  # fmt: skip
+    now = time.monotonic() - evening.began
+    over = sum(x.finished is not None for x in evening.courses.values())
+    head = Text(f"{now:5.1f} s   {over} of {len(evening.jobs)} jobs over   ") + nodes
+    if said:
+        head += Text(f"   {said[-1]}", style="yellow")
+    return Group(head, Panel(jobs_table(evening, 14), title="jobs"), Panel(fleet, title="fleet"))
+
+
+def _verdict(console: Console, evening: Evening, broken: list, paid: float) -> None:
+    for name, row in evening.summary()["classes"].items():
+        in_time = "" if row["in_time"] is None else f", {row['in_time']:.0%} by the deadline"
+        median = "" if row["median_s"] is None else f", median {row['median_s']:.1f} s"
+        console.print(f"{name}: {row['done']} of {row['jobs']} jobs done{in_time}{median}")
+    ms = evening.latencies_ms()
+    if ms:
+        console.print(f"submissions: p50 {ms['p50']:.0f} ms, p99 {ms['p99']:.0f} ms from when due")
+    console.print(f"money: {paid:.4f} at the lab's prices")
+    for b in broken:
+        console.print(
+            f"[bold red]broken rule[/] {b.rule} at {b.at - evening.began:.1f} s: {b.text}"
+        )
+    if not broken:
+        console.print("[bold green]no rule was broken[/]")
+
+
+# --- a lab that stays ------------------------------------------------------------------
+
+
+@lab.command()
+@click.argument("site", default="demo")
+@click.option("--folder", type=click.Path(path_type=Path), default="lab-run", show_default=True)
+@click.option("--tuning", type=click.Path(path_type=Path, exists=True), help="For controllers.")
+@click.option("--detach", is_flag=True, help="Return when it is up; `lab down` ends it.")
+def up(site: str, folder: Path, tuning: Path | None, detach: bool) -> None:
+    """Start a lab and leave it running; prints its settings file."""
+    path = lab_file(site)
+    if detach:
+        _detached(path, folder, tuning)
+        return
+    driven(_up(path, folder, tuning))
+
+
+async def _up(path: Path, folder: Path, tuning: Path | None) -> None:
+    cluster = Cluster(path, folder, tuning)
+    try:
+        await cluster.start()
+        _where(folder)
+        await asyncio.Event().wait()
+    finally:
+        await cluster.stop()
+        (folder / "lab.json").unlink(missing_ok=True)
+
+
+def _where(folder: Path) -> None:
+    click.echo(f"settings: {folder / 'host-0.toml'}")
+    click.echo(f"users:    {' '.join(_read(folder)['nodes'])}")
+    click.echo(f"try:      coveflow submit --lab {folder} --class tally")
+    click.echo(f"end:      coveflow lab down --folder {folder}")
+
+
+def _read(folder: Path) -> dict[str, Any]:
+    try:
+        return json.loads((folder / "lab.json").read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise UserError(f"no lab runs in {folder}; start one: coveflow lab up") from error
+
+
+def _detached(path: Path, folder: Path, tuning: Path | None) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "lab.json").unlink(missing_ok=True)
+    command = [
+        sys.executable,
+        "-m",
+        "coveflow.cli",
+        "lab",
+        "up",
+        str(path),
+        "--folder",
+        str(folder),
+    ]
+    if tuning is not None:
+        command += ["--tuning", str(tuning)]
+    with (folder / "up.log").open("ab") as log:
+        process = subprocess.Popen(
+            command, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True
+        )
+    ends = time.monotonic() + 30
+    while not (folder / "lab.json").exists():
+        if process.poll() is not None or time.monotonic() > ends:
+            raise UserError(f"the lab did not come up; see {folder / 'up.log'}")
+        time.sleep(0.1)
+    _where(folder)
+
+
+@lab.command()
+@click.option("--folder", type=click.Path(path_type=Path), default="lab-run", show_default=True)
+def down(folder: Path) -> None:
+    """End a lab that `lab up` left running."""
+    pid = _read(folder)["pid"]
+    with contextlib.suppress(ProcessLookupError):
+        os.kill(pid, signal.SIGTERM)
+    ends = time.monotonic() + 15
+    while (folder / "lab.json").exists() and time.monotonic() < ends:
+        time.sleep(0.1)
+    click.echo("ended")
--- a/coveflow/cli/main.py
+++ b/coveflow/cli/main.py
@@ -18,6 +18,7 @@
 COMMANDS = {
     "run": ("coveflow.cli.daemon:run", "Run a controller."),
     "check": ("coveflow.cli.daemon:check", "Check settings, tuning, lab and change files."),
+    "lab": ("coveflow.cli.lab:lab", "Stand-in clusters on this machine."),
 }
 
 
@@ -64,4 +65,3 @@
         sys.exit(2)
     except KeyboardInterrupt:
         sys.exit(130)
-
--- a/coveflow/core/fleet.py
+++ b/coveflow/core/fleet.py
@@ -141,9 +141,7 @@
         returns = self._returns(now, machines, lacks, tuning) if settled else []
         return wants, returns
 
-    def _needed(
-        self, now: float, machines: list[Machine], prompt: Callable[[str], bool]
-    ) -> None:
+    def _needed(self, now: float, machines: list[Machine], prompt: Callable[[str], bool]) -> None:
         """How many machines of each type and kind served work that is to start promptly.
 
         The most of the last minutes stays up: a boot takes longer than such work may wait.
--- a/coveflow/core/scene.py
+++ b/coveflow/core/scene.py
@@ -53,9 +53,7 @@
         if aim.workload and aim.within_s is not None and aim.kind in ("wait", "finished"):
             found.setdefault(aim.workload, []).append(Goal(aim.within_s, aim.kind == "finished"))
     return {
-        name: tuple(goals)
-        for name, goals in found.items()
-        if any(not goal.ends for goal in goals)
+        name: tuple(goals) for name, goals in found.items() if any(not goal.ends for goal in goals)
     }
 
 
--- a/coveflow/core/timeline.py
+++ b/coveflow/core/timeline.py
@@ -89,9 +89,7 @@
 class Pool:
     """Usable machines of one type, zone and kind."""
 
-    def __init__(
-        self, now: float, buckets: int, reserve: tuple[float, float] = (0.0, 0.0)
-    ) -> None:
+    def __init__(self, now: float, buckets: int, reserve: tuple[float, float] = (0.0, 0.0)) -> None:
         self.now, self.buckets, self.reserve = now, buckets, reserve
         self.rooms: list[Room] = []
         self.holds: list[Hold] = []
--- a/coveflow/daemon/around.py
+++ b/coveflow/daemon/around.py
@@ -7,6 +7,9 @@
 
 import msgspec
 
+from coveflow import wire
+from coveflow.core.model import Order
+from coveflow.core.planner import Plan
 from coveflow.net.meters import Meters
 from coveflow.settings import Settings, Tuning
 
@@ -22,3 +25,7 @@
     effects: Callable[[str, Any], None] = lambda kind, data: None
     peer_hears: Callable[[str, float], bool] = lambda machine, within: False
     peers_known: Callable[[], bool] = lambda: True
+    # What virtual time puts in place of its own: how orders leave, and how long a pass took, which
+    # decides when the next one comes.
+    answer: Callable[[int, list[Order]], Any] = wire.orders_answer
+    pass_s: Callable[[Plan, float], float] = lambda plan, measured_s: measured_s
--- a/coveflow/daemon/planning.py
+++ b/coveflow/daemon/planning.py
@@ -94,7 +94,7 @@
             self.cycle_over(now)
         book.passed_at = now
         book.hot.update(name for name, held in book.held.items() if held.for_commit)
-        took = self.around.clock() - started
+        took = self.around.pass_s(plan, self.around.clock() - started)
         self.around.meters.span("full pass" if full else "cheap pass", took)
         self.around.meters.add("planning steps", plan.steps)
         if full:
--- a/coveflow/daemon/reports.py
+++ b/coveflow/daemon/reports.py
@@ -7,7 +7,6 @@
 import itertools
 
 from coveflow import constants as c
-from coveflow import wire
 from coveflow.core.model import Job, Machine, Order, Placement, Report
 from coveflow.daemon.around import Around
 from coveflow.daemon.book import Book
@@ -62,10 +61,10 @@
             waiting.reply.set_result(None)
         if (report.tenure, report.counter) <= (m.tenure, m.counter) and m.counter >= 0:
             # Late: its task list is as old as the report. It is answered, not believed.
-            reply.set_result(wire.orders_answer(book.leading, []))
+            reply.set_result(self.around.answer(book.leading, []))
             return
         if report.tenure < m.tenure:
-            reply.set_result(wire.orders_answer(book.leading, []))
+            reply.set_result(self.around.answer(book.leading, []))
             return
         if report.tenure > m.tenure:
             # A new tenure: the worker has killed and forgotten all it ran before.
@@ -201,7 +200,7 @@
             return
         orders = self._orders(m, held.report)
         m.answered = self.around.clock()
-        held.reply.set_result(wire.orders_answer(self.book.leading, orders))
+        held.reply.set_result(self.around.answer(self.book.leading, orders))
 
     def _orders(self, m: Machine, report: Report, peek: bool = False) -> list[Order]:
         """What the worker should do, given what it last said. `run` and `clear` go only here."""
--- /dev/null
+++ b/coveflow/lab/check.py
@@ -0,0 +1,198 @@
+"""The protocol's rules, read off a lab's history: which were broken, where and when.
+
+A history is rows in the order of their times. Workers' rows say when a task came on and off a
+machine; users' rows say what was asked and answered. The same checker serves live and after.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from coveflow.core.model import Spec
+from coveflow.settings import Team
+
+FORGOTTEN_S = 90.0  # s for which every poll for a job may fail while most others are answered
+
+
+@dataclass(frozen=True)
+class Broken:
+    """A rule that was broken; `at` in s of the history's clock."""
+
+    rule: str
+    at: float
+    text: str
+
+
+@dataclass
+class _Job:
+    spec: Spec | None = None
+    accepted: bool = False
+    asked_cancel: bool = False
+    told: str = ""  # the final state its user was told
+    told_at: float = math.inf  # when it was told that it is cancelled
+    done: set[int] = field(default_factory=set)
+    answered_at: float = 0.0  # when a poll last succeeded
+
+
+@dataclass
+class _Live:
+    machine: str
+    zone: str
+
+
+class Checker:
+    def __init__(self, teams: list[Team], cancel_s: float) -> None:
+        self.teams = {team.name: team for team in teams}
+        self.cancel_s = cancel_s
+        self.jobs: dict[str, _Job] = {}
+        self.live: dict[tuple[str, int], _Live] = {}
+        self.zones: dict[str, Counter[str]] = {}  # live tasks of a job by zone
+        self.used: dict[str, list[float]] = {}  # CPUs and accelerators of a team
+        self.polls: Counter[bool] = Counter()
+        self.starts = 0
+        self.broken: list[Broken] = []
+
+    def read(self, rows: Iterable[dict[str, Any]]) -> list[Broken]:
+        """The whole history, in order of time; what is broken."""
+        at = 0.0
+        for row in sorted(rows, key=lambda row: row["at"]):
+            self.see(row)
+            at = row["at"]
+        return self.finish(at)
+
+    def finish(self, at: float) -> list[Broken]:
+        for job, task in list(self.live):
+            self._not_cancelled(job, task, at)
+        if not self.starts:
+            self._broken("nothing_ran", at, "no task was started")
+        return self.broken
+
+    def _broken(self, rule: str, at: float, text: str) -> None:
+        self.broken.append(Broken(rule, at, text))
+
+    def _job(self, name: str) -> _Job:
+        return self.jobs.setdefault(name, _Job())
+
+    def see(self, row: dict[str, Any]) -> None:
+        match row["kind"]:
+            case "submit":
+                self._job(row["job"]).spec = row["spec"]
+            case "on":
+                self._on(row)
+            case "off":
+                self._off(row)
+            case "cancel":
+                self._job(row["job"]).asked_cancel = True
+            case "answer":
+                self._answer(row)
+
+    # --- workers -----------------------------------------------------------------------
+
+    def _on(self, row: dict[str, Any]) -> None:
+        job, task, at = row["job"], row["task"], row["at"]
+        self.starts += 1
+        known = self._job(job)
+        there = self.live.get((job, task))
+        if there is not None:
+            where = f"{row['machine']} and {there.machine}"
+            self._broken("ran_twice", at, f"{job}/{task} is on {where}")
+            return
+        spec = known.spec
+        if spec is None:
+            self._broken("invented", at, f"{job}/{task} runs and was never submitted")
+            return
+        self._not_cancelled(job, task, at)
+        zones = self.zones.setdefault(job, Counter())
+        wrong = ""
+        if spec.types is not None and row["type"] not in spec.types:
+            wrong = f"on type {row['type']}"
+        elif spec.zone is not None and spec.zone != row["zone"]:
+            wrong = f"in zone {row['zone']}"
+        elif row["spot"] and not spec.spot:
+            wrong = "on a spot machine"
+        elif spec.one_zone and any(n and zone != row["zone"] for zone, n in zones.items()):
+            wrong = f"in {row['zone']}, others in {sorted(z for z, n in zones.items() if n)}"
+        elif spec.spread and zones[row["zone"]] + 1 > (spec.tasks + 1) // 2:
+            wrong = f"crowds zone {row['zone']}"
+        if wrong:
+            self._broken("wrong_place", at, f"{job}/{task} {wrong}")
+        self.live[(job, task)] = _Live(row["machine"], row["zone"])
+        zones[row["zone"]] += 1
+        self._use(spec, 1, at)
+
+    def _use(self, spec: Spec, sign: int, at: float) -> None:
+        used = self.used.setdefault(spec.team, [0.0, 0.0])
+        used[0] += sign * spec.cpus
+        used[1] += sign * spec.accelerators
+        team = self.teams.get(spec.team)
+        if team is None or sign < 0:
+            return
+        if team.cpus_max > 0 and used[0] > team.cpus_max + 1e-6:
+            self._broken("quota", at, f"{spec.team} uses {used[0]:g} CPUs of {team.cpus_max:g}")
+        if team.accelerators_max > 0 and used[1] > team.accelerators_max + 1e-6:
+            self._broken("quota", at, f"{spec.team} uses {used[1]:g} accelerators")
+
+    def _off(self, row: dict[str, Any]) -> None:
+        job, task = row["job"], row["task"]
+        known = self._job(job)
+        there = self.live.get((job, task))
+        if row["why"] == "done":
+            known.done.add(task)
+        if there is None or there.machine != row["machine"]:
+            return
+        self._not_cancelled(job, task, row["at"])
+        del self.live[(job, task)]
+        self.zones[job][there.zone] -= 1
+        if known.spec is not None:
+            self._use(known.spec, -1, row["at"])
+
+    def _not_cancelled(self, job: str, task: int, at: float) -> None:
+        since = self._job(job).told_at
+        if at > since + self.cancel_s:
+            self._broken(
+                "ran_cancelled", at, f"{job}/{task} {at - since:.1f} s after its cancellation"
+            )
+
+    # --- users -------------------------------------------------------------------------
+
+    def _answer(self, row: dict[str, Any]) -> None:
+        """`code` is an HTTP status or 0 for none; `state` what a 200 or 201 said."""
+        job, code, at = row["job"], row["code"], row["at"]
+        known = self._job(job)
+        if row["to"] == "poll":
+            self._polled(known, job, code, at)
+        if code in (400, 422) and known.accepted:
+            self._broken("forgotten", at, f"{job} was accepted and now gets {code}")
+        if code not in (200, 201):
+            return
+        if known.spec is None:
+            self._broken("invented", at, f"{job} gets {code} and was never submitted")
+            return
+        known.accepted = True
+        state = row["state"]
+        if known.told and state != known.told:
+            self._broken("went_back", at, f"{job} was {known.told}, now {state}")
+        if state == "cancelled" and not known.asked_cancel:
+            self._broken("went_back", at, f"{job} is cancelled and nobody asked")
+        missing = known.spec.tasks - len(known.done)
+        if state == "done" and missing and known.told != "done":
+            self._broken("not_done", at, f"{job} is called done, {missing} tasks are not")
+        if state in ("done", "cancelled"):
+            known.told = state
+            if state == "cancelled":
+                known.told_at = min(known.told_at, at)
+
+    def _polled(self, known: _Job, job: str, code: int, at: float) -> None:
+        if code == 404 and known.accepted:
+            self._broken("forgotten", at, f"{job} was accepted and now gets 404")
+        good = code in (200, 404)
+        self.polls[good] += 1
+        if good or not known.answered_at:
+            known.answered_at = at
+        elif at - known.answered_at > FORGOTTEN_S and self.polls[True] > self.polls[False]:
+            self._broken("forgotten", at, f"no poll for {job} for {at - known.answered_at:.0f} s")
+            known.answered_at = at
--- /dev/null
+++ b/coveflow/lab/cluster.py
@@ -0,0 +1,282 @@
+"""A lab as processes on this machine: the stand-ins, the controllers, and their end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ctypes
+import itertools
+import json
+import os
+import shutil
+import signal
+import socket
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from coveflow import wire
+from coveflow.core.model import Spec
+from coveflow.lab import site as sites
+from coveflow.lab.check import Broken, Checker
+
+LOCAL = "127.0.0.1"
+READY_S = 20.0  # s within which all controllers must be healthy
+PR_SET_PDEATHSIG = 1
+clock = time.monotonic
+
+
+class LabError(Exception):
+    """The lab could not be started or driven; the text says where to look."""
+
+
+def _with_its_parent() -> None:
+    """The kernel ends this process when the one that started it ends, however that happens."""
+    with contextlib.suppress(OSError, AttributeError):
+        ctypes.CDLL(None, use_errno=True).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def free_ports(count: int) -> list[int]:
+    held = []
+    for _ in range(count):
+        s = socket.socket()
+        s.bind((LOCAL, 0))
+        held.append(s)
+    ports = [s.getsockname()[1] for s in held]
+    for s in held:
+        s.close()
+    return ports
+
+
+@dataclass
+class Child:
+    name: str
+    command: list[str]
+    log: Path
+    process: asyncio.subprocess.Process | None = None
+    keeper: asyncio.Task[None] | None = None
+
+
+@dataclass
+class Cluster:
+    """Ports, settings and processes of one lab in a folder of its own."""
+
+    site_file: Path
+    folder: Path
+    tuning: Path | None = None
+    log_level: str = "info"
+    site: sites.Site = field(init=False)
+    nodes: dict[str, dict[str, Any]] = field(default_factory=dict)
+    children: dict[str, Child] = field(default_factory=dict)
+    plan: dict[str, Any] = field(default_factory=dict)
+    restarts: int = 0
+    closing: bool = False
+
+    def __post_init__(self) -> None:
+        self.site = sites.load(self.site_file)
+
+    # --- files -------------------------------------------------------------------------
+
+    def _lay_out(self) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        names = [f"host-{i}" for i in range(self.site.controllers)]
+        zones = self.site.zones
+        pairs = list(itertools.permutations(names, 2))
+        ports = iter(free_ports(2 + 5 * len(names) + len(pairs) + len(zones) * len(names)))
+        cloud, lab = next(ports), next(ports)
+        links: list[tuple[str, int, int]] = []
+
+        def link(name: str, target: int) -> int:
+            port = next(ports)
+            links.append((name, port, target))
+            return port
+
+        self.plan = {"cloud": cloud, "lab": lab, "nodes": names, "state": {}}
+        for i, name in enumerate(names):
+            state = next(ports)
+            self.plan["state"][name] = state
+            self.nodes[name] = {
+                "zone": zones[i % len(zones)], "front": next(ports), "cluster": next(ports),
+                "state": link(f"{name}->state", state), "cloud": link(f"{name}->cloud", cloud),
+            }  # fmt: skip
+        peers = {
+            (a, b): link(f"{a}->{b}", self.nodes[b]["cluster"]) for a, b in pairs
+        }  # fmt: skip
+        for zone in zones:
+            for name in names:
+                link(f"{zone}->{name}", self.nodes[name]["front"])
+        history = self.folder / "history-fleet.jsonl"
+        history.unlink(missing_ok=True)
+        if self.site_file.resolve() != (self.folder / "lab.scm").resolve():
+            shutil.copyfile(self.site_file, self.folder / "lab.scm")
+        self.plan |= {
+            "links": links, "history": str(history), "site": str(self.folder / "lab.scm"),
+        }  # fmt: skip
+        (self.folder / "plan.cbor").write_bytes(wire.pack(self.plan))
+        for name in names:
+            text = self._settings(name, peers)
+            (self.folder / f"{name}.toml").write_text(text, encoding="utf-8")
+
+    def _settings(self, name: str, peers: dict[tuple[str, str], int]) -> str:
+        node, site = self.nodes[name], self.site
+        lines = [
+            f'host_name = "{name}"',
+            f'area = "{node["zone"]}"',
+            f'front = "{LOCAL}:{node["front"]}"',
+            f'cluster_listen = "{LOCAL}:{node["cluster"]}"',
+            *(
+                f'[[members]]\nhost_name = "{b}"\narea = "{self.nodes[b]["zone"]}"\n'
+                f'address = "{LOCAL}:{port}"'
+                for (a, b), port in peers.items()
+                if a == name
+            ),
+            f'[services]\ncloud = "{LOCAL}:{node["cloud"]}"\nstate = "{LOCAL}:{node["state"]}"',
+            f"[params]\nsize = {site.controllers}\nzones = {json.dumps(site.zones)}",
+        ]
+        for team in site.teams:
+            row = msgspec.to_builtins(team)
+            lines += ["[[params.teams]]", *(f"{k} = {json.dumps(v)}" for k, v in row.items())]
+        for row in site.objectives:
+            lines += ["[[params.objectives]]", *(f"{k} = {json.dumps(v)}" for k, v in row.items())]
+        for part in ("workers", "state", "cloud"):
+            values = {k.replace("-", "_"): v for k, v in getattr(site, part).items()}
+            if part == "state":
+                values["txn_ops"] = int(values["txn_ops"])
+            lines += [f"[params.{part}]", *(f"{k} = {v}" for k, v in values.items())]
+        return "\n".join(lines) + "\n"
+
+    # --- processes ---------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Start everything and wait until users are served; LabError if that takes too long."""
+        self._lay_out()
+        plan = str(self.folder / "plan.cbor")
+        for role in ("state", "fleet"):
+            await self._launch(role, [sys.executable, "-m", "coveflow.lab.serve", role, plan])
+        for name in self.nodes:
+            command = [sys.executable, "-m", "coveflow.daemon"]
+            if self.tuning is not None:
+                command += ["--tuning", str(self.tuning)]
+            command += ["--config", str(self.folder / f"{name}.toml")]
+            await self._launch(name, command)
+        await self._ready()
+        (self.folder / "lab.json").write_text(
+            json.dumps({"nodes": self.fronts(), "lab": self.plan["lab"], "pid": os.getpid()})
+        )
+
+    async def _launch(self, name: str, command: list[str]) -> None:
+        child = self.children[name] = Child(name, command, self.folder / f"{name}.log")
+        await self._run(child)
+        child.keeper = asyncio.create_task(self._keep(child))
+
+    async def _run(self, child: Child) -> None:
+        with child.log.open("ab") as log:
+            child.process = await asyncio.create_subprocess_exec(
+                *child.command,
+                stdout=log,
+                stderr=log,
+                stdin=asyncio.subprocess.DEVNULL,
+                env=os.environ | {"LOG_LEVEL": self.log_level},
+                preexec_fn=_with_its_parent,
+            )
+
+    async def _keep(self, child: Child) -> None:
+        """A controller that ended is started again after the site's pause; a stand-in is not."""
+        while True:
+            assert child.process is not None
+            await child.process.wait()
+            if self.closing or child.name not in self.nodes:
+                return
+            self.restarts += 1
+            await asyncio.sleep(self.site.restart_s)
+            await self._run(child)
+
+    async def _ready(self) -> None:
+        ends = clock() + READY_S
+        async with aiohttp.ClientSession() as session:
+            for name, node in self.nodes.items():
+                while not await _healthy(session, f"{LOCAL}:{node['front']}"):
+                    if clock() > ends:
+                        log = self.folder / f"{name}.log"
+                        raise LabError(f"{name} is not up after {READY_S:g} s; see {log}")
+                    await asyncio.sleep(0.1)
+
+    async def stop(self) -> None:
+        """End every process; none is left when this returns."""
+        self.closing = True
+        for child in self.children.values():
+            if child.keeper is not None:
+                child.keeper.cancel()
+            if child.process is not None and child.process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    child.process.kill()
+        for child in self.children.values():
+            if child.process is not None:
+                await child.process.wait()
+
+    # --- driving -----------------------------------------------------------------------
+
+    def fronts(self) -> list[str]:
+        return [f"{LOCAL}:{node['front']}" for node in self.nodes.values()]
+
+    def signal_node(self, name: str, what: signal.Signals) -> None:
+        process = self.children[name].process
+        if process is not None and process.returncode is None:
+            process.send_signal(what)
+
+    async def leader(self, session: aiohttp.ClientSession) -> str | None:
+        """Who leads, by the controllers' own word on the cluster address."""
+        for name, node in self.nodes.items():
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError, KeyError):
+                async with session.post(
+                    f"http://{LOCAL}:{node['cluster']}/ping",
+                    data=wire.pack({}),
+                    timeout=aiohttp.ClientTimeout(total=0.5),
+                ) as response:
+                    if wire.unpack(await response.read())["leading"]:
+                        return name
+        return None
+
+    async def ask(self, session: aiohttp.ClientSession, path: str, body: Any = None) -> Any:
+        """The fleet's own interface; the state service's under `/state...`."""
+        port = self.plan["lab"]
+        if path.startswith("/state"):
+            path, port = path[len("/state") :], next(iter(self.plan["state"].values()))
+        method = "POST" if body is not None else "GET"
+        async with session.request(
+            method, f"http://{LOCAL}:{port}{path}", data=None if body is None else wire.pack(body)
+        ) as response:
+            if response.status != 200:
+                raise LabError(f"{path}: {response.status}")
+            data = await response.read()
+            return wire.unpack(data) if data else None
+
+    async def upload(self, session: aiohttp.ClientSession, spec: Spec) -> None:
+        await self.ask(session, "/lab/upload", {"spec": msgspec.to_builtins(spec)})
+
+    def history(self, extra: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        """Workers' rows of the lab and the users' rows, in order of time."""
+        path = self.folder / "history-fleet.jsonl"
+        rows = list(extra)
+        if path.exists():
+            with path.open(encoding="utf-8") as lines:
+                rows += [json.loads(line) for line in lines if line.endswith("\n")]
+        return sorted(rows, key=lambda row: row["at"])
+
+    def check(self, rows: list[dict[str, Any]]) -> list[Broken]:
+        return Checker(self.site.teams, self.site.workers["cancel-s"]).read(rows)
+
+
+async def _healthy(session: aiohttp.ClientSession, node: str) -> bool:
+    try:
+        async with session.get(
+            f"http://{node}{wire.UP}", timeout=aiohttp.ClientTimeout(total=1.0)
+        ) as response:
+            return response.status == 200
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return False
--- /dev/null
+++ b/coveflow/lab/faults.py
@@ -0,0 +1,142 @@
+"""Faults at set times, as S-expressions.
+
+(faults
+  (at 12 kill leader)                     ; a controller: leader, host-1 or all
+  (at 15 pause host-1 (for 5))            ; stopped, then it goes on
+  (at 20 cut north south (for 10) (mode hold))   ; hold, reset or refuse
+  (at 30 outage state (for 5))            ; or cloud
+  (at 30 slow state (by 0.3) (for 5))     ; late: applied late and not answered
+  (at 30 refuse host-1 (for 5))           ; by the state service alone
+  (at 40 machines kill (count 2)))        ; hang, sick, slow, take
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from coveflow import forms
+from coveflow.lab.cluster import Cluster
+
+KINDS = ("kill", "pause", "cut", "outage", "slow", "late", "refuse", "machines")
+MACHINES = ("kill", "hang", "sick", "slow", "take")
+MODES = ("hold", "reset", "refuse")
+# Options of each fault beyond `for`, in s, with their defaults.
+OPTIONS = {"by": 0.3, "count": 1.0, "factor": 2.0, "notice": 0.0}
+
+
+@dataclass(frozen=True)
+class Fault:
+    at: float
+    kind: str
+    who: tuple[str, ...]
+    for_s: float = 5.0
+    mode: str = "hold"
+    options: dict[str, float] = field(default_factory=dict)
+
+    def __str__(self) -> str:
+        return " ".join([self.kind, *self.who])
+
+
+def load(path: Path) -> list[Fault]:
+    try:
+        return parse(path.read_text(encoding="utf-8"), str(path))
+    except (OSError, UnicodeDecodeError) as error:
+        raise forms.FormError(f"{path}: {getattr(error, 'strerror', None) or error}") from error
+
+
+def parse(text: str, origin: str) -> list[Fault]:
+    """Faults in order of their times; FormError names the form that is wrong."""
+    found = [_fault(item, origin) for item in forms.read(text, origin, "faults")]
+    return sorted(found, key=lambda fault: fault.at)
+
+
+def _fault(item: Any, origin: str) -> Fault:
+    shown = forms.show(item)
+    if not isinstance(item, list) or len(item) < 4 or item[0] != "at":
+        raise forms.FormError(f"{origin}: {shown} is not (at SECONDS KIND WHO (for S) ...)")
+    at = forms.number("at", [item[1]], origin, 0)
+    kind = forms.word("at", [item[2]], f"{origin}: {shown}", KINDS)
+    who = tuple(word for word in item[3:] if isinstance(word, str))
+    table = forms.table([form for form in item[3:] if not isinstance(form, str)], origin)
+    needed = 2 if kind == "cut" else 1
+    if len(who) != needed:
+        raise forms.FormError(f"{origin}: {shown}: {kind} takes {needed} name(s)")
+    if kind == "machines":
+        forms.word("machines", [who[0]], f"{origin}: {shown}", MACHINES)
+    options = dict(OPTIONS)
+    for_s, mode = 5.0, "hold"
+    for key, words in table.items():
+        if key == "for":
+            for_s = forms.number(key, words, origin, 0)
+        elif key == "mode":
+            mode = forms.word(key, words, f"{origin}: {shown}", MODES)
+        elif key in options:
+            options[key] = forms.number(key, words, origin, 0)
+        else:
+            raise forms.FormError(f"{origin}: {shown}: {key} is not an option")
+    return Fault(at, kind, who, for_s, mode, options)
+
+
+def sides(cluster: Cluster, name: str) -> set[str]:
+    """The ends of links that a name stands for."""
+    nodes, zones = cluster.nodes, cluster.site.zones
+    if name in zones:
+        return {name} | {n for n, node in nodes.items() if node["zone"] == name}
+    groups = {"nodes": set(nodes), "workers": set(zones), "all": {*nodes, *zones}}
+    if name in groups:
+        return groups[name]
+    if name in nodes or name in ("state", "cloud"):
+        return {name}
+    raise forms.FormError(f"cut: {name} is no node, zone, nodes, workers, state or cloud")
+
+
+def links_between(cluster: Cluster, a: str, b: str) -> list[str]:
+    one, other = sides(cluster, a), sides(cluster, b)
+    found = []
+    for name, _, _ in cluster.plan["links"]:
+        src, _, dst = name.partition("->")
+        if (src in one and dst in other) or (src in other and dst in one):
+            found.append(name)
+    return found
+
+
+async def carry_out(cluster: Cluster, session: aiohttp.ClientSession, fault: Fault) -> str:
+    """Do it; what was done, in words."""
+    who = fault.who[0]
+    if fault.kind in ("kill", "pause"):
+        if who == "leader":
+            who = await cluster.leader(session) or next(iter(cluster.nodes))
+        chosen = list(cluster.nodes) if who == "all" else [who]
+        for name in chosen:
+            if fault.kind == "kill":
+                cluster.signal_node(name, signal.SIGKILL)
+            else:
+                cluster.signal_node(name, signal.SIGSTOP)
+                asyncio.get_running_loop().call_later(
+                    fault.for_s, cluster.signal_node, name, signal.SIGCONT
+                )
+        return f"{fault.kind} {', '.join(chosen)}"
+    order: dict[str, Any] = {"for_s": fault.for_s, "by_s": fault.options["by"]}
+    if fault.kind == "cut":
+        order |= {"kind": "cut", "links": links_between(cluster, *fault.who), "mode": fault.mode}
+    elif fault.kind == "machines":
+        order |= {
+            "kind": who,
+            "count": fault.options["count"],
+            "factor": fault.options["factor"],
+            "notice_s": fault.options["notice"],
+        }
+    elif fault.kind == "outage" and who == "cloud":
+        order |= {"kind": "cloud-outage"}
+    else:
+        order |= {"kind": fault.kind, "who": who}
+        await cluster.ask(session, "/state/lab/fault", order)
+        return str(fault)
+    await cluster.ask(session, "/lab/fault", order)
+    return str(fault)
--- /dev/null
+++ b/coveflow/whatif/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator: the daemon's own decisions in virtual time, against the lab's models."""
