Classes that allow no repeat; the leader's trace; two jobs that hung for ever

Need: the operators' work that may not run twice must never be stopped for other work or moved, and a lost attempt of it waits for their word; a recorder needs the leader's decisions as events. Change: (class NAME (repeat no)) in the operators' file. Such jobs are no victims, are not drained nor put on spot machines; an attempt that may have started and is lost holds its task, committed with the machine record that gives it up, so that a new leader holds it too; run again and give up count once committed. (trace N) keeps numbered events of each lead in memory on the cluster address; off, nothing is kept. A gang counts once in the histories, not once per mate.

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -73,6 +73,7 @@
 ASKED_PARTS = 6  # parts of the time over which recent demand is counted; their median is taken,
 ASKED_PART_S = 20.0  # s each, so that a single rush does not pass for what usually comes
 USES_KEPT = 32  # recent jobs' use beside an accelerator, from which free ones keep room
+GUESS_TOLD = 0.05  # part by which a guess must have moved to be told to the trace again
 PASS_PART = 12  # times a pass's own time before the next: planning stays under a tenth
 ARRIVAL_CYCLE_S = 0.5  # s between two full cycles that newly arrived jobs bring forward
 COMMIT_PACE_S = 0.08  # s between two scheduling commits, so that changes share one
--- a/coveflow/core/fleet.py
+++ b/coveflow/core/fleet.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from coveflow import constants as c
-from coveflow.core.model import Flavor, Listed, Machine, Placement, Spec
+from coveflow.core.model import Flavor, Job, Listed, Machine, Placement, Spec
 from coveflow.core.planner import Lack
 from coveflow.core.scene import elsewhere
 from coveflow.core.timeline import EPS, fit
@@ -137,7 +137,7 @@
     ) -> tuple[list[Want], list[str]]:
         by_name = {f.name: f for f in flavors}
         self._needed(now, machines, prompt)
-        wants = self._wants(now, lacks, by_name) if settled else []
+        wants = self._wants(now, lacks, by_name, machines) if settled else []
         returns = self._returns(now, machines, lacks, tuning) if settled else []
         return wants, returns
 
@@ -163,6 +163,7 @@
         now: float,
         lacks: list[Lack],
         flavors: dict[str, Flavor],
+        machines: list[Machine],
     ) -> list[Want]:
         coming = [
             virtual(flavors[b.flavor], b.zone, b.spot)
@@ -187,9 +188,10 @@
                 if not (plain and machine.flavor.accelerators > 0):
                     left -= machine.put(spec, left)
             coming = [machine for machine in coming if machine.cpus > EPS]
+            ordinary = lack.urgent or _stranded(spec, machines)
             while left > 0:
                 # A kind whose request is full leaves the rest to the next kind at once.
-                option = self._cheapest(now, spec, lack, left, flavors, counts, plain)
+                option = self._cheapest(now, spec, ordinary, left, flavors, counts, plain)
                 if option is None:
                     break
                 flavor, zone, spot = option
@@ -212,7 +214,7 @@
         self,
         now: float,
         spec: Spec,
-        lack: Lack,
+        ordinary: bool,
         left: int,
         flavors: dict[str, Flavor],
         counts: dict[tuple[str, str, bool], int],
@@ -234,7 +236,7 @@
                         continue
                     if counts.get(key, 0) >= c.MAX_RENT:
                         continue
-                    if not spot and spec.spot and not lack.urgent:
+                    if not spot and spec.spot and not ordinary:
                         continue
                     # Booting is paid for too, so a machine that is up sooner may be cheaper.
                     paid = flavor.rate(spot) * (flavor.boot_s + KEPT_S)
@@ -249,7 +251,7 @@
         machines: list[Machine],
         lacks: list[Lack],
         left: Callable[[Placement], float],
-        spec_of: Callable[[str], Spec],
+        job_of: Callable[[str], Job],
     ) -> list[str]:
         """Machines whose few, saving tasks are better moved, so that they can be returned.
 
@@ -271,8 +273,12 @@
                 continue
             if now - m.born < c.RETURNED_COST_S:
                 continue
-            specs = [spec_of(p.job) for p in m.placements.values()]
-            if any(s.checkpoint_s <= 0 or s.kind != "array" for s in specs) or any(
+            jobs = [job_of(p.job) for p in m.placements.values()]
+            specs = [job.spec for job in jobs]
+            if any(
+                job.spec.checkpoint_s <= 0 or job.spec.kind != "array" or not job.repeat
+                for job in jobs
+            ) or any(
                 p.stopping
                 or p.state != "running"
                 or left(p) < DRAIN_LEFT_S
@@ -361,6 +367,22 @@
         return returns
 
 
+def _stranded(spec: Spec, machines: list[Machine]) -> bool:
+    """Whether the machines that are up could never take the job, were they all empty.
+
+    Best-effort work that may use spot machines waits for those, or for room on what is up. Where
+    there is neither, as in a zone without spot machines after its last one went back, it once
+    waited for ever; so did a gang for whose tasks what was up did not suffice.
+    """
+    places: dict[str, int] = {}
+    for m in machines:
+        if m.up and not m.returning and not m.draining and m.allowed(spec):
+            zone = m.zone if spec.one_zone else ""
+            fits = fit(m.flavor.cpus, m.flavor.ram_gb, m.flavor.accelerators, spec)
+            places[zone] = places.get(zone, 0) + fits
+    return max(places.values(), default=0) < (spec.tasks if spec.kind == "gang" else 1)
+
+
 def _moves(specs: list[Spec], rooms: list[Virtual]) -> bool:
     """Whether the rooms take one task of each job; they keep them only if they take all."""
     moved: list[tuple[Virtual, Spec]] = []
--- a/coveflow/core/stopping.py
+++ b/coveflow/core/stopping.py
@@ -94,6 +94,8 @@
     for victim in state.jobs:
         if victim.id == job.id or victim.id in stopped or not victim.placed:
             continue
+        if not victim.repeat:
+            continue  # what may not run twice is never stopped for other work
         if not may_stop(victim, job, is_inside, victim.id in inside, over):
             continue
         waited = victim.spec.workload in state.goals and victim.spec.deadline_s is None
--- a/coveflow/daemon/around.py
+++ b/coveflow/daemon/around.py
@@ -10,6 +10,7 @@
 from coveflow import wire
 from coveflow.core.model import Order
 from coveflow.core.planner import Plan
+from coveflow.daemon.tracing import Tracer
 from coveflow.net.meters import Meters
 from coveflow.settings import Settings, Tuning
 
@@ -25,6 +26,7 @@
     effects: Callable[[str, Any], None] = lambda kind, data: None
     peer_hears: Callable[[str, float], bool] = lambda machine, within: False
     peers_known: Callable[[], bool] = lambda: True
+    trace: Tracer | None = None  # hears of decisions and evidence, if the operators want that
     # What virtual time puts in place of its own: how orders leave, and how long a pass took, which
     # decides when the next one comes.
     answer: Callable[[int, list[Order]], Any] = wire.orders_answer
--- a/coveflow/daemon/book.py
+++ b/coveflow/daemon/book.py
@@ -9,18 +9,24 @@
 
 import math
 from collections import OrderedDict
+from typing import Any
+
+import msgspec
 
 from coveflow import constants as c
 from coveflow.core import demand, fleet, planner, scene
 from coveflow.core.estimates import Predictor
 from coveflow.core.model import Job, Machine, Placement
 from coveflow.daemon.around import Around
-from coveflow.daemon.commands import SLOT, Accepted, End, Held
+from coveflow.daemon.commands import SLOT, Accepted, End, Held, Release
 from coveflow.logs import Log
 from coveflow.state.records import Records
 
 log = Log("coveflow.owner")
 
+# Ends that prove that an attempt did nothing.
+NEVER_RAN = frozenset({"never started", "full", "busy", "unknown", "alone"})
+
 
 class Book:
     def __init__(self, around: Around) -> None:
@@ -43,6 +49,8 @@
         self.dirty_chunks: dict[str, set[int]] = {}
         self.dirty_machines: dict[str, None] = {}
         self.gone: OrderedDict[str, float] = OrderedDict()
+        self.held_due: dict[str, None] = {}  # jobs whose held tasks changed
+        self.releases: dict[str, list[tuple[list[int], Release]]] = {}
         self.drop: dict[str, None] = {}  # machines proven gone, record not removed yet
         # Answers that wait.
         self.held: dict[str, Held] = {}
@@ -54,13 +62,24 @@
         self.passed_at = -math.inf
         self.plan = planner.Plan()  # of the last full cycle
 
+    def tell(self, kind: str, **fields: Any) -> None:
+        """An event for the recorder, if there is to be one."""
+        trace = self.around.trace
+        if trace is not None and self.leading:
+            trace.emit(self.leading, kind, fields)
+
     # --- jobs and attempts -------------------------------------------------------------
 
     def adopt(self, entry: Accepted) -> None:
         """Take in an accepted job, or the news that its user cancelled it."""
         job = self.jobs.get(entry.spec.id)
         if job is None:
-            job = Job(entry.spec, entry.at, entry.rev, seen_at=self.around.clock())
+            spec = entry.spec
+            repeat = self.around.tuning.repeats(spec.workload)
+            if not repeat:
+                # A spot machine may be taken at any time, and this work may not begin anew.
+                spec = msgspec.structs.replace(spec, spot=False)
+            job = Job(spec, entry.at, entry.rev, seen_at=self.around.clock(), repeat=repeat)
             job.refill()
             self.jobs[job.id] = job
             self.arrivals = True
@@ -74,17 +93,36 @@
                 spot=job.spec.spot,
                 team=job.spec.team,
             )
+            self.tell("accepted", **self.accepted_fields(job))
         job.rev = max(job.rev, entry.rev)
         if entry.cancelled is not None and job.cancelled is None:
             job.cancelled = entry.cancelled
             log.info("job cancelled", job=job.id, tasks_to_end=len(job.placed))
+            self.tell("cancelled", job=job.id)
             for p in job.placed.values():
-                p.stopping, p.grace_s = True, 0.0
-                self.wake(p.machine)
+                self.stop(p, 0.0, "its user cancelled it")
             if job.over:
                 self.dirty_jobs[job.id] = None
         self.pass_due = True
 
+    def accepted_fields(self, job: Job) -> dict[str, Any]:
+        """What the trace has of a job: all its user said, and when."""
+        return {
+            "job": job.id,
+            "at": job.arrived,
+            "spec": msgspec.to_builtins(job.spec),
+            "cancelled": job.cancelled,
+        }
+
+    def stop(self, p: Placement, grace_s: float, why: str) -> None:
+        """The attempt is to end; it goes on until a report proves that it did."""
+        if not p.stopping:
+            self.tell(
+                "stopped", job=p.job, task=p.task, number=p.number, machine=p.machine, why=why
+            )
+        p.stopping, p.grace_s = True, grace_s
+        self.wake(p.machine)
+
     def _asked(self, job: Job) -> None:
         use = scene.use_of(job.spec)
         if use is None:
@@ -96,7 +134,7 @@
         known = self.demand.setdefault(job.spec.workload, demand.Demand())
         known.add(job.spec, self.around.clock() - max(0.0, self.around.wall() - job.arrived))
 
-    def end(self, p: Placement, done: bool, why: str) -> None:
+    def end(self, p: Placement, done: bool, why: str, saved: bool = False) -> None:
         """The attempt is proven gone. Its room is free; its task is, once that is committed."""
         m = self.machines[p.machine]
         job = self.jobs[p.job]
@@ -113,6 +151,14 @@
         else:
             # Numbers up to this one are spent: a cleared attempt must never be run again.
             job.floor = max(job.floor, p.number)
+            self._hold(job, p, why)
+        if self.around.trace is not None:
+            now = self.around.clock()
+            ran = 0.0 if p.since is None else now - p.since
+            self.tell(
+                "ended", job=p.job, task=p.task, number=p.number, machine=m.id, done=done,
+                why=why, saved=saved, ran_s=round(ran, 6),
+            )  # fmt: skip
         self._dirty_task(job, p.task)
         self.dirty_machines[m.id] = None
         if not done:
@@ -132,19 +178,53 @@
         job = self.jobs[p.job]
         if job.spec.kind != "gang":
             return
+        if done:
+            # All of them, not only those still placed: a mate whose machine's lease ran out
+            # between the end and its report once was to run again, alone, and never could.
+            job.free.clear()
+            for task in range(job.spec.tasks):
+                job.mark_done(task)
+                self._dirty_task(job, task)
+            self._completed(job)
+            return
         peer_s = self.around.settings.params.workers.gang_peer_s
         for mate in job.placed.values():
-            if mate.number != p.number:
-                continue
-            if done:
-                job.mark_done(mate.task)
-                self._dirty_task(job, mate.task)
-            elif not mate.stopping:
-                mate.stopping = True
-                mate.grace_s = max(job.spec.save_s, peer_s)
-                self.wake(mate.machine)
-        if done and job.complete:
-            self._completed(job)
+            if mate.number == p.number and not mate.stopping:
+                self.stop(mate, max(job.spec.save_s, peer_s), "its gang fell apart")
+
+    def _hold(self, job: Job, p: Placement, why: str) -> None:
+        """A class that allows no repeat: what may have run waits for an operator's word.
+
+        An attempt that was never told to its machine, was refused there, never started or never
+        found its gang did nothing, so it may be made again like any other.
+        """
+        if job.repeat or job.cancelled is not None or not p.told or why in NEVER_RAN:
+            return
+        job.held.add(p.task)
+        self.held_due[job.id] = None
+        self.dirty_jobs[job.id] = None
+        log.warning(
+            "task held", task=f"{p.job}/{p.task}", machine=p.machine, why=why,
+            cure="coveflow held again, or give-up",
+        )  # fmt: skip
+        self.tell("held", job=p.job, task=p.task, number=p.number, machine=p.machine, why=why)
+
+    def release(self, command: Release) -> None:
+        """Answered once it is committed; until then the tasks are neither held nor free."""
+        job = self.jobs.get(command.job)
+        if job is None:
+            command.reply.set_result({"error": f"{command.job} is not running here"})
+            return
+        tasks = sorted(job.held if command.tasks is None else job.held.intersection(command.tasks))
+        if not tasks:
+            command.reply.set_result({"error": f"{command.job} holds none of these tasks"})
+            return
+        job.held.difference_update(tasks)
+        if not command.again:
+            job.given_up.update(tasks)
+        self.releases.setdefault(job.id, []).append((tasks, command))
+        self.held_due[job.id] = None
+        self.dirty_jobs[job.id] = None
 
     def lost(self, m: Machine, why: str) -> None:
         """All that was on the machine is proven gone."""
@@ -158,6 +238,9 @@
             self.dirty_chunks.setdefault(job.id, set()).add(task // c.CHUNK_TASKS)
 
     def _completed(self, job: Job) -> None:
+        if job.counted:
+            return  # each mate of a gang reports its end, and the histories count it once
+        job.counted = True
         log.info(
             "all tasks done",
             job=job.id,
--- a/coveflow/daemon/commands.py
+++ b/coveflow/daemon/commands.py
@@ -25,6 +25,7 @@
 # Items within the slots.
 FLOOR = "j/"  # a job's spent attempt numbers
 CHUNK = "d/"  # a job's completed tasks, by chunk
+HELD = "h/"  # a job's tasks that wait for an operator's word, or were given up
 MACHINE = "m/"  # a machine and the attempts that may be on it
 
 
@@ -125,6 +126,15 @@
     flavors: list[Flavor]
 
 
+class Release(msgspec.Struct, eq=False):
+    """An operator's word on held tasks: run them again, or give them up for good."""
+
+    job: str
+    tasks: list[int] | None  # None: all that the job holds
+    again: bool
+    reply: asyncio.Future[dict[str, Any] | None]  # None: not known, ask again
+
+
 Command = (
     Heard
     | InboxRows
@@ -137,6 +147,7 @@
     | Returned
     | Vouched
     | Prices
+    | Release
 )
 
 
@@ -150,4 +161,6 @@
     removed: list[Machine] = []
     placed: list[Placement] = []
     ends: list[tuple[Machine, End]] = []
+    held: list[Job] = []
+    releases: list[tuple[Job, list[int], Release]] = []
     history: bool = False
--- a/coveflow/daemon/commits.py
+++ b/coveflow/daemon/commits.py
@@ -5,18 +5,20 @@
 from collections.abc import Callable
 
 from coveflow import constants as c
-from coveflow.core.model import Job, Machine
+from coveflow.core.model import Job, Machine, ranges
 from coveflow.daemon.around import Around
 from coveflow.daemon.book import Book
 from coveflow.daemon.commands import (
     CHUNK,
     FLOOR,
+    HELD,
     HISTORY,
     JOB,
     MACHINE,
     OLD,
     VIEW,
     End,
+    Release,
     Settled,
     Txn,
 )
@@ -107,9 +109,17 @@
                 or book.records.values.get(FLOOR + name) == job.floor
                 or draft.add(FLOOR + name, job.floor)
             ) and all(draft.add(f"{CHUNK}{name}/{i}", job.chunk(i)) for i in sorted(chunks))
+            # Before its machine's record gives the attempt up: a new leader must hold it too.
+            held = name in book.held_due
+            if held:
+                whole = whole and draft.add(HELD + name, held_value(job))
             if not whole:
                 return False
             txn.jobs.append((job, chunks))
+            if held:
+                del book.held_due[name]
+                txn.held.append(job)
+                txn.releases += [(job, *row) for row in book.releases.pop(name, [])]
             del book.dirty_jobs[name]
             book.dirty_chunks.pop(name, None)
         return True
@@ -183,20 +193,34 @@
             if job is None:
                 continue
             book.unsettled[job.id] -= 1
-            if not end.done and p.task not in job.done and p.task not in job.placed:
+            if not end.done and job.may_free(p.task):
                 job.free.append(p.task)
                 book.pass_due = True
             if job.over:
                 book.dirty_jobs[job.id] = None
+        for job, tasks, command in txn.releases:
+            self._released(job, tasks, command)
         for m in txn.removed:
             self._forget_machine(m)
         for job in txn.finished:
             status = txn.writes[OLD + job.id]["status"]
             log.info("job over", job=job.id, status=status)
+            book.tell("over", job=job.id, status=status, done=len(job.done))
             book.jobs.pop(job.id, None)
             book.unsettled.pop(job.id, None)
             self.inbox.ended(job.id, status, len(job.done), rev)
 
+    def _released(self, job: Job, tasks: list[int], command: Release) -> None:
+        """An operator's word is committed: it counts, and the operator hears so."""
+        for task in tasks:
+            self.book.tell("released", job=job.id, task=task, again=command.again)
+            if command.again and job.may_free(task):
+                job.free.append(task)
+        log.info("held tasks released", job=job.id, tasks=len(tasks), again=command.again)
+        self.book.pass_due = True
+        if not command.reply.done():
+            command.reply.set_result({"job": job.id, "tasks": tasks, "again": command.again})
+
     def _forget_machine(self, m: Machine) -> None:
         self.book.machines.pop(m.id, None)
         self.book.drop.pop(m.id, None)
@@ -210,7 +234,7 @@
         if job is None:
             return
         book.unsettled[job.id] -= 1
-        if not end.done and end.placement.task not in job.done:
+        if not end.done and job.may_free(end.placement.task):
             job.free.append(end.placement.task)
         book.dirty_jobs[job.id] = None
         book.pass_due = True
@@ -230,6 +254,10 @@
         for job, chunks in txn.jobs:
             book.dirty_jobs[job.id] = None
             book.dirty_chunks.setdefault(job.id, set()).update(chunks)
+        for job in txn.held:
+            book.held_due[job.id] = None
+        for job, tasks, command in txn.releases:
+            book.releases.setdefault(job.id, []).append((tasks, command))
         for m in txn.machines + txn.removed:
             book.dirty_machines[m.id] = None
         for m, end in txn.ends:
@@ -244,6 +272,17 @@
         self.next_commit = self.around.clock() + c.RETRY_S
 
 
+def held_value(job: Job) -> list[list[int]] | None:
+    """A job's held and given-up tasks as ranges; None when there are none."""
+    if not job.held and not job.given_up:
+        return None
+    return [ranges(job.held), ranges(job.given_up)]
+
+
 def _items(job: Job) -> list[str]:
     """All items that the records may hold of a job."""
-    return [FLOOR + job.id, *(f"{CHUNK}{job.id}/{index}" for index in sorted(job.bits))]
+    return [
+        FLOOR + job.id,
+        HELD + job.id,
+        *(f"{CHUNK}{job.id}/{index}" for index in sorted(job.bits)),
+    ]
--- a/coveflow/daemon/keeper.py
+++ b/coveflow/daemon/keeper.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from coveflow import constants as c
 from coveflow.core import scene
+from coveflow.core.fleet import Want
 from coveflow.core.model import Listed
 from coveflow.daemon.around import Around
 from coveflow.daemon.book import Book
@@ -13,6 +16,11 @@
 log = Log("coveflow.owner")
 
 
+def want_fields(want: Want) -> dict[str, Any]:
+    """What the trace has of a request for machines."""
+    return {"type": want.flavor, "zone": want.zone, "spot": want.spot, "count": want.count}
+
+
 class Keeper:
     def __init__(self, around: Around, inbox: Inbox, book: Book) -> None:
         self.around, self.inbox, self.book = around, inbox, book
@@ -34,6 +42,7 @@
             prompt=lambda job: book.jobs[job].spec.workload in self.goals,
         )
         for want in wants:
+            book.tell("asked", **want_fields(want))
             self.around.effects("rent", want)
         if returns:
             self.give_back(returns, "idle")
@@ -44,15 +53,15 @@
             lambda p: scene.remaining(
                 p.since, book.jobs[p.job].guess_s, now, p.overrun, tuning.cycle_s
             ),
-            lambda name: book.jobs[name].spec,
+            book.jobs.__getitem__,
         )
         for name in drains:
             m = book.machines[name]
             m.draining = True
             log.info("machine drains", machine=name, tasks=len(m.placements))
+            book.tell("drained", machine=name, why="nearly empty")
             for p in m.placements.values():
-                p.stopping, p.grace_s = True, book.jobs[p.job].spec.save_s + 1.0
-            book.wake(name)
+                book.stop(p, book.jobs[p.job].spec.save_s + 1.0, "its machine drains")
 
     def give_back(self, names: list[str], why: str) -> None:
         for name in names:
@@ -60,6 +69,7 @@
             if m is not None:
                 m.returning = True
             log.info("machine goes back", machine=name, why=why)
+            self.book.tell("returning", machine=name, why=why)
         self.around.effects("return", names)
 
     def tick(self, now: float) -> None:
@@ -110,6 +120,7 @@
         """The cloud answered that the machine and everything on it are gone."""
         book = self.book
         book.gone[name] = self.around.clock()
+        book.tell("returned", machine=name)
         if len(book.gone) > c.GONE_KEPT:
             book.gone.popitem(last=False)
         book.fleet.gone(name)
--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -19,7 +19,9 @@
 from coveflow.daemon.agents import Agents
 from coveflow.daemon.front import Front
 from coveflow.daemon.membership import Membership
+from coveflow.daemon.operators import PATHS, Operators
 from coveflow.daemon.peers import Peers
+from coveflow.daemon.tracing import Tracer
 from coveflow.logs import Log
 from coveflow.net.cloud import Cloud, NoCapacity
 from coveflow.net.http import Unavailable
@@ -80,6 +82,9 @@
             self.wall,
             self.agents.handle,
         )
+        self.peers.asked_of = dict.fromkeys(PATHS, Operators(self.owner).handle)
+        if tuning.trace:
+            self.owner.around.trace = Tracer(tuning.trace, self.clock, self.wall, self.peers.boot)
         self.membership.on_contact = self.peers.on_contact
         self.owner.around.effects = self.effect
         self.owner.around.peer_hears = self.peers.hears
--- a/coveflow/daemon/owner.py
+++ b/coveflow/daemon/owner.py
@@ -12,6 +12,8 @@
 import math
 from collections.abc import Callable
 
+import msgspec
+
 from coveflow import constants as c
 from coveflow.daemon.around import Around
 from coveflow.daemon.book import Book
@@ -24,6 +26,7 @@
     Lead,
     Prices,
     Refused,
+    Release,
     Rented,
     Returned,
     Settled,
@@ -32,9 +35,9 @@
 )
 from coveflow.daemon.commits import Commits
 from coveflow.daemon.inbox import Inbox
-from coveflow.daemon.keeper import Keeper
+from coveflow.daemon.keeper import Keeper, want_fields
 from coveflow.daemon.planning import Planning
-from coveflow.daemon.reports import Reports
+from coveflow.daemon.reports import Reports, machine_fields
 from coveflow.daemon.restore import restore
 from coveflow.logs import Log
 from coveflow.net.meters import Meters
@@ -122,6 +125,8 @@
                 for name in command.machines:
                     if name in self.book.machines:
                         self.book.machines[name].vouched = self.around.clock()
+            case Release() if not self.leading:
+                command.reply.set_result(None)
             case _:
                 if self.leading:
                     self._of_the_fleet(command)
@@ -136,13 +141,17 @@
             case Rented():
                 book.fleet.rented(command.want, command.machines, now)
                 book.fleet_due = True
+                book.tell("rented", **want_fields(command.want), machines=command.machines)
                 log.info("rented", what=command.want.label(), machines=command.machines)
             case Refused():
+                book.tell("refused", **want_fields(command.want))
                 book.fleet.refused(command.want, now)
                 book.fleet_due = True
             case Returned():
                 for machine in command.machines:
                     self.keeper.gone(machine, "returned")
+            case Release():
+                book.release(command)
 
     # --- inbox -------------------------------------------------------------------------
 
@@ -183,15 +192,45 @@
         # Last of all: with a part of its state a leader would start again what it forgot.
         book.leading, book.rev = command.epoch, command.rev
         log.info("leading", epoch=book.leading, jobs=len(book.jobs), machines=len(book.machines))
+        self._trace_lead()
         book.pass_due = True
         self.planning.next_pass = now + min(1.0, self.around.settings.params.workers.report_s)
 
+    def _trace_lead(self) -> None:
+        """A recorder starts from here: the deployment, and all that is known by now."""
+        book, settings = self.book, self.around.settings
+        if self.around.trace is None:
+            return
+        self.around.trace.begin(book.leading)
+        book.tell(
+            "lead",
+            node=settings.name,
+            params=msgspec.to_builtins(settings.params),
+            tuning=msgspec.to_builtins(self.around.tuning),
+            types=[msgspec.to_builtins(f) for f in self.inbox.flavors.values()],
+        )
+        for job in book.jobs.values():
+            book.tell("accepted", **book.accepted_fields(job), done=len(job.done))
+            for task in sorted(job.held):
+                book.tell("held", job=job.id, task=task, why="recorded")
+        for m in book.machines.values():
+            tasks = [[p.job, p.task, p.number] for p in m.placements.values()]
+            book.tell("known", **machine_fields(m), tasks=tasks)
+
     def step_down(self, why: str) -> None:
         if not self.leading:
             return
         log.info("no longer leading", epoch=self.leading, why=why)
         held = list(self.book.held.values())
+        unsure = [row[1] for rows in self.book.releases.values() for row in rows]
+        if self.commits.in_flight is not None:
+            unsure += [row[2] for row in self.commits.in_flight.releases]
+        if self.around.trace is not None:
+            self.around.trace.end(self.leading, why)
         self._new_book()
+        for command in unsure:
+            if not command.reply.done():
+                command.reply.set_result(None)
         for waiting in held:
             # Not entitled any more: the worker tries the next node.
             if not waiting.reply.done():
--- a/coveflow/daemon/peers.py
+++ b/coveflow/daemon/peers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import uuid
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import aiohttp
@@ -53,6 +53,8 @@
             for member in settings.members
             if member.name != settings.name
         }
+        # Paths that operators' tools ask, and who answers: (path, body) to (status, body).
+        self.asked_of: dict[str, Callable[[str, bytes], Awaitable[tuple[int, bytes]]]] = {}
         self.cancelled: set[str] = set()  # cancellations heard of from peers
         self.heard_at = clock()  # when any peer was last in contact, either way
 
@@ -126,6 +128,9 @@
         if request.path == PING:
             self.heard_at = self.clock()
             return web.Response(body=wire.pack(self.info()))
+        if request.path in self.asked_of:
+            status, answer = await self.asked_of[request.path](request.path, body)
+            return web.Response(status=status, body=answer)
         if request.path == RELAY:
             answer = await self.relay(body)
             return web.Response(body=answer) if answer is not None else web.Response(status=503)
--- a/coveflow/daemon/planning.py
+++ b/coveflow/daemon/planning.py
@@ -46,10 +46,18 @@
         """Guessed run time per task; a job's own finished tasks tell most."""
         predictor = self.book.predictor
         if job.run_count >= 3:
-            job.guess_s = job.run_sum / job.run_count
+            guess_s = job.run_sum / job.run_count
         elif job.guess_of != predictor.version:
             job.guess_of = predictor.version
-            job.guess_s = predictor.guess(job.spec)
+            guess_s = predictor.guess(job.spec)
+        else:
+            return
+        if self.around.trace is not None and abs(guess_s - job.told_guess_s) > (
+            c.GUESS_TOLD * job.told_guess_s
+        ):
+            job.told_guess_s = guess_s
+            self.book.tell("guess", job=job.id, guess_s=round(guess_s, 3))
+        job.guess_s = guess_s
 
     def _state(self, now: float, wall: float) -> scene.State:
         book = self.book
@@ -110,6 +118,7 @@
             job, m = book.jobs[start.job], book.machines[start.machine]
             for _ in range(start.count):
                 p = job.place(m, now)
+                book.tell("placed", job=job.id, task=p.task, number=p.number, machine=m.id)
                 log.debug("task placed", job=job.id, task=p.task, number=p.number, machine=m.id)
             m.idle_since = None
             book.dirty_machines[m.id] = None
@@ -119,8 +128,7 @@
             log.info("job stopped for more urgent work", job=name)
             job.preempted += 1
             for p in job.placed.values():
-                p.stopping, p.grace_s = True, job.spec.save_s + 1.0
-                book.wake(p.machine)
+                book.stop(p, job.spec.save_s + 1.0, "more urgent work")
 
     def _grow_overruns(self, now: float) -> None:
         for m in self.book.machines.values():
--- a/coveflow/daemon/reports.py
+++ b/coveflow/daemon/reports.py
@@ -5,6 +5,7 @@
 import asyncio
 import heapq
 import itertools
+from typing import Any
 
 from coveflow import constants as c
 from coveflow.core.model import Job, Machine, Order, Placement, Report
@@ -17,6 +18,11 @@
 log = Log("coveflow.owner")
 
 
+def machine_fields(m: Machine) -> dict[str, Any]:
+    """What the trace has of a machine."""
+    return {"machine": m.id, "type": m.flavor.name, "zone": m.zone, "spot": m.spot}
+
+
 class Reports:
     def __init__(self, around: Around, inbox: Inbox, book: Book) -> None:
         self.around, self.inbox, self.book = around, inbox, book
@@ -52,6 +58,7 @@
             m.owner = self.around.settings.name
             book.fleet.up(m.id, now)
             log.info("machine up", machine=m.id, type=m.flavor.name, zone=m.zone)
+            book.tell("up", **machine_fields(m))
         if m.address != report.address:
             m.address = report.address
         m.up = True
@@ -75,6 +82,7 @@
             ends = now + report.notice_s
             if m.ends_at is None:
                 log.info("machine has notice", machine=m.id, in_s=report.notice_s)
+                book.tell("notice", machine=m.id, in_s=report.notice_s)
             m.ends_at = ends if m.ends_at is None else min(m.ends_at, ends)
         news = self._tasks(m, report, now)
         self._drain(m, now)
@@ -97,6 +105,7 @@
             p.state = t.state
             if t.state == "running" and p.since is None:
                 p.since = now
+                self.book.tell("running", job=t.job, task=t.task, number=t.number, machine=m.id)
         for p in [p for p in m.placements.values() if p.key not in seen]:
             # Absence proves that the run never started only if the worker has already taken
             # the current epoch (so no older leader's answer can still reach it) and this
@@ -120,7 +129,7 @@
                 m.speed += (ratio - m.speed) / min(m.speed_n + 4, 20)
             job.run_sum += run_s
             job.run_count += 1
-        self.book.end(p, done, why)
+        self.book.end(p, done, why, saved)
         self.book.gang_ended(p, done)
         if done and p.placed_at > m.failed_at:
             m.failed_jobs.clear()  # it completes what it starts
@@ -144,6 +153,7 @@
         if not m.suspect and (len(m.failed_jobs) >= c.SUSPECT_JOBS or alone):
             m.suspect = True
             log.warning("machine suspected", machine=m.id, failed_jobs=len(m.failed_jobs))
+            self.book.tell("suspected", machine=m.id, failures=dict(m.failed_jobs))
         sound = [n for n in job.bad_machines if n in machines and not machines[n].suspect]
         if job.done or now < job.not_before:
             return  # tasks that failed together count once
@@ -161,11 +171,11 @@
             return
         for p in m.placements.values():
             job = self.book.jobs[p.job]
-            if p.stopping or job.spec.checkpoint_s <= 0:
+            if p.stopping or job.spec.checkpoint_s <= 0 or not job.repeat:
                 continue
             # The notice may be half as long as announced, so saving starts by half time.
             if m.ends_at - now <= 2 * (job.spec.save_s + c.DRAIN_SPARE_S):
-                p.stopping, p.grace_s = True, job.spec.save_s + 1.0
+                self.book.stop(p, job.spec.save_s + 1.0, "its machine has notice")
 
     # --- answers -----------------------------------------------------------------------
 
@@ -229,6 +239,9 @@
                 orders.append(Order("run", *p.key))
                 if not peek:
                     if p.sent < 0:
+                        self.book.tell(
+                            "told", job=p.job, task=p.task, number=p.number, machine=m.id
+                        )
                         waited = self.around.clock() - p.placed_at
                         self.around.meters.span("placed to told", waited)
                     p.sent = report.counter
--- a/coveflow/daemon/restore.py
+++ b/coveflow/daemon/restore.py
@@ -6,7 +6,7 @@
 
 from coveflow.core.model import Machine, Placement, unranges
 from coveflow.daemon.book import Book
-from coveflow.daemon.commands import CHUNK, FLOOR, HISTORY, MACHINE
+from coveflow.daemon.commands import CHUNK, FLOOR, HELD, HISTORY, MACHINE
 from coveflow.daemon.inbox import Inbox
 from coveflow.logs import Log
 from coveflow.state.records import Unreadable
@@ -37,6 +37,10 @@
             job = book.jobs.get(rest)
             if job is not None:
                 job.floor = value
+        elif kind == HELD:
+            job = book.jobs.get(rest)
+            if job is not None:
+                job.held, job.given_up = set(unranges(value[0])), set(unranges(value[1]))
         elif kind == CHUNK:
             name, index = rest.rsplit("/", 1)
             job = book.jobs.get(name)
@@ -46,6 +50,9 @@
         if item.startswith(MACHINE):
             _machine(book, inbox, item[len(MACHINE) :], value, now)
     for job in book.jobs.values():
+        if job.done and job.spec.kind == "gang":
+            for task in range(job.spec.tasks):
+                job.mark_done(task)  # they complete together
         job.refill()
         if job.over:
             book.dirty_jobs[job.id] = None
@@ -70,6 +77,7 @@
         for number, flat in rows:
             for task in unranges(flat):
                 p = Placement(job_id, task, number, name, m.tenure, committed=True, placed_at=now)
+                p.restored = True
                 m.placements[p.key] = p
                 m.take(job.spec)
                 job.attempts += 1
--- /dev/null
+++ b/tests/test_no_repeat.py
@@ -0,0 +1,190 @@
+"""Classes that allow no repeat: nothing that may have run ever begins anew without a word."""
+
+from collections import Counter
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from coveflow import settings as s
+from coveflow.core import planner, scene
+from coveflow.core.fleet import Fleet
+from coveflow.core.model import Job, Machine
+from coveflow.daemon.commands import Release
+from coveflow.whatif.world import Reply
+from tests.samples import flavor, spec
+from tests.test_world import FAULTS, add_faults
+from tests.world import World
+
+ONCE = s.parse_tuning("(coveflow (class once (repeat no)))")
+
+
+def once(name, **changes):
+    return spec(name, workload="once", **changes)
+
+
+def world_of(seed, *specs, **settings):
+    world = World(seed, tuning=ONCE, **settings)
+    runs = Counter()
+
+    def seen(kind, row):
+        # Refused, fetching and waiting attempts did nothing, nor those whose result exists.
+        if kind == "running":
+            runs[(row["job"], row["task"])] += 1
+
+    world.observers.append(seen)
+    for i, job in enumerate(specs):
+        world.at(0.5 + i, lambda job=job: world.submit(job))
+    return world, runs
+
+
+def lose_a_machine(world, job="j-000001"):
+    """The first machine that runs a task of the job dies; the tasks that ran there."""
+    leader = world.leader()
+    while not any(p.since for p in getattr(leader.book.jobs.get(job), "placed", {}).values()):
+        world.run(world.now + 0.1)
+    first = next(p for p in leader.book.jobs[job].placed.values() if p.since is not None)
+    worker = world.posts[first.machine].worker
+    ran = {a.task for a in worker.tasks.values() if a.state == "running"}
+    world.cloud.fail(first.machine, world.now)
+    return ran
+
+
+def release(world, job, again, tasks=None):
+    answers = []
+    world.leader().work([Release(job, tasks, again, Reply(answers.append))])
+    world.run(world.now + 2.0)
+    return answers
+
+
+def test_a_lost_task_waits_for_an_operator_and_then_runs_again():
+    world, runs = world_of(1, once("j-000001", tasks=12))
+    ran = lose_a_machine(world)
+    world.run(60.0)
+    job = world.leader().book.jobs["j-000001"]
+    assert job.held == ran and len(job.done) == 12 - len(ran) and not job.free
+    assert "j-000001" not in world.over, "its user goes on seeing it queued"
+    # Another leader holds it too, from the records.
+    world.crash("a")
+    world.at(3.0, lambda: world.elect("b"))
+    world.run(90.0)
+    assert world.leader().book.jobs["j-000001"].held == ran
+    assert max(runs.values()) == 1
+    assert release(world, "j-000001", True) == [
+        {"job": "j-000001", "tasks": sorted(ran), "again": True}
+    ]
+    world.run(200.0)
+    assert world.ended == {"j-000001": "done"}
+    assert {task for (_, task), n in runs.items() if n == 2} == ran
+
+
+def test_a_task_that_was_given_up_never_runs_and_its_job_is_never_called_over():
+    world, runs = world_of(2, once("j-000001", tasks=12))
+    ran = lose_a_machine(world)
+    world.run(50.0)
+    assert release(world, "j-000001", False)[0]["tasks"] == sorted(ran)
+    assert "error" in release(world, "j-000001", True)[0], "it holds none any more"
+    world.crash("a")
+    world.at(3.0, lambda: world.elect("b"))
+    world.run(120.0)
+    assert world.leader().book.jobs["j-000001"].given_up == ran
+    assert max(runs.values()) == 1 and not world.over
+    world.cancel("j-000001")
+    world.run(130.0)
+    assert world.ended == {"j-000001": "cancelled"}
+
+
+def test_the_same_loss_without_the_setting_is_made_up_for():
+    world = World(1)
+    world.at(0.5, lambda: world.submit(once("j-000001", tasks=12)))
+    lose_a_machine(world)
+    world.run(100.0)
+    assert world.ended == {"j-000001": "done"}
+
+
+@settings(
+    max_examples=50, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck),
+    phases=[Phase.explicit, Phase.generate],
+)  # fmt: skip
+@given(st.integers(0, 10_000), FAULTS)
+def test_nothing_of_the_class_runs_twice_whatever_fails(seed, faults):
+    """Crashes, cuts, lost leases, take-overs: a second run needs an operator's word."""
+    jobs = [
+        once("j-000000", tasks=8), once("j-000001", tasks=5, cpus=2.0, deadline_s=20.0),
+        once("j-000002", kind="gang", tasks=3, cpus=2.0, accelerators=1.0),
+        spec("j-000003", tasks=12, cpus=2.0, deadline_s=15.0, priority=2),
+    ]  # fmt: skip
+    world, runs = world_of(seed, *jobs)
+    add_faults(world, faults)
+    world.run(100.0)
+    world.at(12.0, lambda: world.elect("b"))
+    world.run(300.0)
+    assert not {key: n for key, n in runs.items() if n > 1 and key[0] != "j-000003"}
+    leader = world.leader()
+    for job in world.submitted:
+        known = leader.book.jobs.get(job)
+        assert job in world.over or known.held, "only a held task keeps a job from its end"
+
+
+@pytest.mark.parametrize("repeat", [False, True])
+def test_such_work_is_never_stopped_for_other_work(repeat):
+    victim = Job(spec("j-1", tasks=8, priority=0), 0.0, 1, repeat=repeat)
+    urgent = Job(spec("j-2", cpus=8.0, tasks=1, deadline_s=30.0, priority=2), 4.0, 1)
+    m = Machine("m", "", flavor(), "north", False)
+    m.up, m.counter = True, 1
+    for job in (victim, urgent):
+        job.refill()
+    while victim.free:
+        p = victim.place(m, 0.0)
+        p.since, p.state = 0.0, "running"
+    jobs, teams = [victim, urgent], {"blue": s.Team("blue")}
+    state = scene.State(jobs, [m], teams, {}, 10.0, {j.id: j.arrived for j in jobs})
+    plan = planner.plan(state, s.Tuning(), {"j-1": 500.0, "j-2": 10.0}, 200, None)
+    assert plan.stops == (["j-1"] if repeat else [])
+
+
+@pytest.mark.parametrize("repeat", [False, True])
+def test_such_work_is_never_moved_to_empty_a_machine(repeat):
+    jobs = [
+        Job(spec("j-1", tasks=1, checkpoint_s=5.0, save_s=1.0), 0.0, 1, repeat=repeat),
+        Job(spec("j-2", tasks=1), 0.0, 1),
+    ]
+    machines = []
+    for job, price in zip(jobs, (9.0, 0.1), strict=True):
+        m = Machine(f"n-{job.id}", "", flavor(price=price), "north", False)
+        m.up, m.counter = True, 1
+        job.refill()
+        p = job.place(m, 0.0)
+        p.since, p.state = 0.0, "running"
+        machines.append(m)
+    table = {job.id: job for job in jobs}
+    drained = Fleet().drains(200.0, machines, [], lambda p: 60.0, table.__getitem__)
+    assert drained == (["n-j-1"] if repeat else [])
+
+
+def test_spot_machines_are_left_out_for_the_class_only():
+    world, _ = world_of(3, once("j-000001", spot=True), spec("j-000002", spot=True))
+    world.run(3.0)
+    jobs = world.leader().book.jobs
+    assert not jobs["j-000001"].spec.spot and jobs["j-000002"].spec.spot
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("(coveflow (class once (repeat maybe)))", "maybe"),
+        ("(coveflow (class once (again no)))", "again"),
+        ("(coveflow (class once (repeat no)) (class once (repeat yes)))", "twice"),
+        ("(coveflow (class once))", "class"),
+    ],
+)
+def test_a_wrong_class_form_is_named(text, named):
+    with pytest.raises(s.SettingsError, match=named):
+        s.parse_tuning(text)
+
+
+def test_a_node_that_does_not_lead_says_that_it_does_not_know():
+    world = World(1)
+    answers = []
+    world.owners["b"].work([Release("j-1", None, True, Reply(answers.append))])
+    assert answers == [None]
