Record the leader's trace: Parquet segments that a kill cannot tear, gaps told and filled

Need: a simulator needs what happened, whole; a recorder must follow take-overs, its own restarts and slow disks, and say what it could not have. Change: coveflow trace record asks every controller's cluster address, so the last events of a deposed leader are still had; events count from 1 in each lead, so a hole shows. What no process has any more is a gap row, filled from the state service with accepted jobs and final states. Segments (Parquet, zstd) and the manifest are put in place by temporary name, sync and rename; what a kill leaves is told apart. show, verify, merge (two recorders fill each other's gaps). submit, status, cancel and held commands. Ruled out: one growing file, which a cut tears; closing a lead by its successor alone, which lost the last events of a lead silently when the recorder was killed between the two.

--- a/coveflow/cli/lab.py
+++ b/coveflow/cli/lab.py
@@ -39,7 +39,7 @@
 def lab_file(name: str) -> Path:
     """A file, or one of the sites that come with the package by its name."""
     path = Path(name)
-    if path.exists():
+    if path.is_file():
         return path
     there = SITES / f"{name}.scm"
     if there.exists():
@@ -216,6 +216,32 @@
         console.print("[bold green]no rule was broken[/]")
 
 
+@lab.command("record-kills")
+@click.option("--times", default=200, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--folder", type=click.Path(path_type=Path))
+def record_kills(times: int, seed: int, folder: Path | None) -> None:
+    """Kill a trace's recorder at random moments, then check the trace; some minutes."""
+    from rich.progress import Progress
+
+    from coveflow.lab.kills import kill_recorder
+
+    with contextlib.ExitStack() as stack:
+        if folder is None:
+            folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="coveflow-")))
+        progress = stack.enter_context(Progress(console=Console(stderr=True)))
+        bar = progress.add_task("kills", total=times)
+        found = driven(
+            kill_recorder(folder, times, seed, lambda n: progress.update(bar, completed=n))
+        )
+    click.echo(
+        f"{found.kills} kills, {found.told} events told, {found.found.rows} rows written:"
+        f" {found.missing} missing and untold, {found.differing} differing,"
+        f" {len(found.found.wrong)} faults, {len(found.found.gaps)} gaps told"
+    )
+    sys.exit(1 if found.missing or found.differing or found.found.wrong else 0)
+
+
 # --- a lab that stays ------------------------------------------------------------------
 
 
--- a/coveflow/cli/main.py
+++ b/coveflow/cli/main.py
@@ -18,6 +18,11 @@
 COMMANDS = {
     "run": ("coveflow.cli.daemon:run", "Run a controller."),
     "check": ("coveflow.cli.daemon:check", "Check settings, tuning, lab and change files."),
+    "submit": ("coveflow.cli.jobs:submit", "Submit a job."),
+    "status": ("coveflow.cli.jobs:status", "Show a job's state."),
+    "cancel": ("coveflow.cli.jobs:cancel", "Cancel a job."),
+    "held": ("coveflow.cli.jobs:held", "Tasks that wait for an operator's word."),
+    "trace": ("coveflow.cli.trace:trace", "Record, show, verify and merge events."),
     "lab": ("coveflow.cli.lab:lab", "Stand-in clusters on this machine."),
 }
 
--- /dev/null
+++ b/coveflow/lab/kills.py
@@ -0,0 +1,151 @@
+"""A recorder killed at random moments while events keep coming; then its trace is checked."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from aiohttp import web
+
+from coveflow import wire
+from coveflow.daemon.tracing import Tracer
+from coveflow.lab.cluster import _with_its_parent
+from coveflow.lab.serve import listen
+from coveflow.trace.files import Findings, read, verify
+
+EVENTS_S = 400.0  # events a second
+LEAD_S = 20.0  # s of one lead
+KEPT = 200_000  # events kept, so that a recorder that is away misses none
+AWAY_S = (0.4, 2.2)  # s until a kill: before, while and after it has started
+DRAINED_S = 3.0  # s of undisturbed recording at the end
+
+SETTINGS = """host_name = "a"
+area = "here"
+front = "127.0.0.1:1"
+cluster_listen = "{cluster}"
+[services]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:1"
+[params]
+zones = ["here"]
+[params.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 10.0
+gang_peer_s = 2.0
+cancel_s = 20.0
+[params.state]
+rps = 1.0
+write_rps = 1.0
+value_kb = 8.0
+txn_ops = 8
+[params.cloud]
+rps = 1.0
+"""
+
+
+@dataclass
+class Kills:
+    """What came of it: `missing` are events that were told and are neither there nor in a gap."""
+
+    kills: int = 0
+    told: int = 0
+    found: Findings = field(default_factory=Findings)
+    missing: int = 0
+    differing: int = 0
+
+
+def _fields(rng: random.Random) -> dict[str, Any]:
+    return {
+        "job": f"j-{rng.randrange(10**6)}", "task": rng.randrange(1000), "number": 1,
+        "machine": f"n-{rng.randrange(500)}", "why": "x" * rng.randrange(40),
+    }  # fmt: skip
+
+
+def _lay_out(folder: Path, port: int) -> Path:
+    folder.mkdir(parents=True, exist_ok=True)
+    config = folder / "node.toml"
+    config.write_text(SETTINGS.format(cluster=f"127.0.0.1:{port}"), encoding="utf-8")
+    return config
+
+
+async def kill_recorder(
+    folder: Path, times: int, seed: int, seen: Callable[[int], None] = lambda n: None
+) -> Kills:
+    """Kill a recorder `times` times with no warning while a controller's events go on."""
+    rng = random.Random(seed)
+    tracer = Tracer(KEPT, time.monotonic, time.time, "one")
+    told: dict[tuple[int, int], dict[str, Any]] = {}
+    epoch = 0
+
+    async def produce() -> None:
+        nonlocal epoch
+        while True:
+            if epoch:
+                tracer.end(epoch, "the next one leads")
+                told[(epoch, tracer.last[epoch])] = {"why": "the next one leads"}
+            epoch += 1
+            tracer.begin(epoch)
+            ends = time.monotonic() + LEAD_S
+            while time.monotonic() < ends:
+                for _ in range(int(EVENTS_S * 0.05)):
+                    fields = _fields(rng)
+                    tracer.emit(epoch, "placed", fields)
+                    told[(epoch, tracer.last[epoch])] = fields
+                await asyncio.sleep(0.05)
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        ask = wire.unpack(await request.read())
+        answer = tracer.read(ask["epoch"], ask["after"], ask["most"])
+        more = {"leader": "a", "leading": epoch, "view": epoch}
+        return web.Response(body=wire.pack(answer | more))
+
+    port, runner = await listen(handle, 0)
+    config, trace = _lay_out(folder, port), folder / "trace"
+    command = [sys.executable, "-m", "coveflow.cli", "trace", "record"]
+    command += ["--config", str(config), "--out", str(trace)]
+
+    async def start(*more: str) -> asyncio.subprocess.Process:
+        quiet = asyncio.subprocess.DEVNULL
+        return await asyncio.create_subprocess_exec(
+            *command, *more, stdout=quiet, stderr=quiet, preexec_fn=_with_its_parent
+        )
+
+    result = Kills()
+    producing = asyncio.create_task(produce())
+    try:
+        for number in range(times):
+            process = await start()
+            await asyncio.sleep(rng.uniform(*AWAY_S))
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+            result.kills += 1
+            seen(number + 1)
+        producing.cancel()
+        process = await start("--for", str(DRAINED_S))
+        await process.wait()
+    finally:
+        producing.cancel()
+        await runner.cleanup()
+    result.told = len(told)
+    result.found = verify(trace)
+    there = {(e.epoch, e.number): e.fields for e in read(trace) if e.epoch}
+    gaps = [(g["of"], g["first"], g["last"]) for g in result.found.gaps]
+    for key, fields in told.items():
+        if key not in there:
+            covered = any(
+                key[0] == of and first <= key[1] and (last is None or key[1] <= last)
+                for of, first, last in gaps
+            )
+            result.missing += not covered
+        elif there[key] != fields:
+            result.differing += 1
+    return result
