--- a/coveflow/cli/lab.py
+++ b/coveflow/cli/lab.py
@@ -264,6 +264,45 @@
     return "\n".join(lines if found["broken"] else [*lines, "no rule was broken"])
 
 
+@lab.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder of results.")
+def experiment(file: Path, out: Path) -> None:
+    """A matrix of settings, rates and seeds, one evening each: Parquet and an HTML page."""
+    from rich.progress import Progress
+
+    from coveflow.lab import experiment as ex
+    from coveflow.lab import results
+
+    try:
+        plan = ex.matrix(file.read_text(encoding="utf-8"), str(file))
+    except OSError as error:
+        raise UserError(f"{file}: {error.strerror}") from error
+    site, rows, broken = lab_file(plan.site), [], 0
+    cases = plan.cases()
+    with Progress(console=Console(stderr=True)) as progress:
+        bar = progress.add_task("evenings", total=len(cases))
+        for number, case in enumerate(cases):
+            name, factor, seed = case
+            folder = out / f"case-{number:03d}"
+            folder.mkdir(parents=True, exist_ok=True)
+            tuning = None
+            if name in plan.tunings:
+                tuning = folder / "tuning.scm"
+                tuning.write_text(plan.tunings[name], encoding="utf-8")
+            played = ex.Case(
+                site, plan.for_s, plan.until_s, factor, seed, list(plan.faults), tuning
+            )
+            found = driven(ex.play(played, folder))
+            broken += len(found["broken"])
+            rows += results.rows_of(case, found)
+            progress.advance(bar)
+    for path in results.write(rows, file.stem, out):
+        click.echo(f"wrote {path}")
+    click.echo(f"{len(cases)} evenings, {broken} broken rules")
+    sys.exit(1 if broken else 0)
+
+
 @lab.command("record-kills")
 @click.option("--times", default=200, show_default=True)
 @click.option("--seed", default=1, show_default=True)
--- a/coveflow/lab/serve.py
+++ b/coveflow/lab/serve.py
@@ -305,8 +305,9 @@
         node = self.random.choice(nodes)
         poke = self.pokes[worker.name]
         due = clock() + self.random.uniform(0, self.site.limits.report_s)
+        soonest = -INF  # before which no change brings the next report forward
         while worker.alive:
-            await self._until(worker, poke, due)
+            await self._until(worker, poke, due, soonest)
             if not worker.alive:
                 return
             sent = clock()
@@ -334,12 +335,10 @@
                 node = nodes[(nodes.index(node) + 1) % len(nodes)]
             every = self.site.limits.report_s * self.random.uniform(0.75, 1.25)
             due = now + wait if wait is not None else sent + every
-            if wait is None and worker.changed:
-                due = min(due, max(now, sent + CHANGE_S))
+            soonest = due if wait is not None else sent + CHANGE_S
 
-    async def _until(self, worker: Worker, poke: asyncio.Event, due: float) -> None:
+    async def _until(self, worker: Worker, poke: asyncio.Event, due: float, soonest: float) -> None:
         """Sleep until the next report; changes bring it forward, internal events happen."""
-        soonest = clock() + CHANGE_S * 0.2
         while worker.alive:
             now = clock()
             if worker.hung_at is None:
