--- a/coveflow/cli/whatif.py
+++ b/coveflow/cli/whatif.py
@@ -49,7 +49,8 @@
     question = None
     if by is not None:
         value: object = by if ":" in by else _number(by)
-        question = Question(ch.when(value, "--by", replay.start), by, workload)
+        text = by if ":" in by else f"{by} s after the start"
+        question = Question(ch.when(value, "--by", replay.start), text, workload)
     columns = (
         TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeElapsedColumn(),
     )  # fmt: skip
--- a/coveflow/lab/cluster.py
+++ b/coveflow/lab/cluster.py
@@ -8,6 +8,7 @@
 import itertools
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -27,6 +28,7 @@
 
 LOCAL = "127.0.0.1"
 READY_S = 20.0  # s within which all controllers must be healthy
+PORTS = (10_000, 32_000)  # below the range of ports that outgoing connections get
 PR_SET_PDEATHSIG = 1
 clock = time.monotonic
 
@@ -42,15 +44,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    held = []
-    for _ in range(count):
-        s = socket.socket()
-        s.bind((LOCAL, 0))
-        held.append(s)
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
-        s.close()
-    return ports
+    """Ports of loopback that nobody listens on, below those that the kernel gives to clients.
+
+    Labs that start at the same time once took each other's, and outgoing connections took some
+    between the look and the use.
+    """
+    rng = random.Random()  # not the site's seed: two labs of one site must differ
+    found: list[int] = []
+    while len(found) < count:
+        port = rng.randrange(*PORTS)
+        with contextlib.closing(socket.socket()) as s, contextlib.suppress(OSError):
+            s.bind((LOCAL, port))
+            if port not in found:
+                found.append(port)
+    return found
 
 
 @dataclass
--- a/coveflow/whatif/simulate.py
+++ b/coveflow/whatif/simulate.py
@@ -436,7 +436,9 @@
         if leader is None:
             for job in live:
                 job.waits[NOBODY] = job.waits.get(NOBODY, 0.0) + SAMPLE_S
-            used = self.samples[-1]["used"] if self.samples else 0.0
+            # What is known of the queue is with the leader; it does not empty for want of one.
+            last = self.samples[-1] if self.samples else {"used": 0.0, "waiting": {}}
+            used, waiting = last["used"], last["waiting"]
         else:
             book = leader.book
             used = sum(m.flavor.cpus - m.cpus for m in book.machines.values())
