Simulator: members keep leases alive while nobody leads, as the daemon's do

Cause: workers of a lost leader bounced between dead and leaderless nodes in the simulator and came to the new one about a second late; jobs across a take-over ended up to 4 s late. Change: a member without a leader to send a worker to answers it with its epoch and no orders.

--- a/coveflow/whatif/world.py
+++ b/coveflow/whatif/world.py
@@ -521,6 +521,15 @@
             return
         if not owner.leading:
             leader = owner.inbox.view.leader
+            if self.lean and self.owners.get(leader) is None:
+                # As any member does while the leader is away: it keeps the lease alive, and the
+                # worker stays until there is somebody to send it to.
+                epoch = owner.inbox.view.epoch
+                self.at(
+                    self.network.latency(),
+                    lambda: self.answered(post, report, sent, epoch, []),
+                )
+                return
             self.at(self.network.latency(), lambda: self._redirected(post, report.counter, leader))
             return
         reply = Reply(lambda body: self._reply(post, report, sent, body))
