--- a/coveflow/cli/daemon.py
+++ b/coveflow/cli/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import sys
 from pathlib import Path
 
@@ -21,6 +22,33 @@
     sys.exit(program.serve(config, tuning))
 
 
+HEAD = re.compile(r"^\s*(?:;[^\n]*\n\s*)*\(\s*([a-z-]+)")  # after comments: the form's first word
+
+
+def check_one(path: Path) -> None:
+    """Read the file as what its first word says it is; the error names what is wrong."""
+    if path.suffix == ".toml":
+        s.load(path)
+        return
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise forms.FormError(f"{path}: {getattr(error, 'strerror', None) or error}") from error
+    found = HEAD.match(text)
+    head = found[1] if found else ""
+    if head in ("lab", "faults", "experiment", "change"):
+        from coveflow.lab import experiment, faults, site
+        from coveflow.whatif import changes
+
+        parse = {
+            "lab": site.parse, "faults": faults.parse, "experiment": experiment.matrix,
+            "change": changes.parse,
+        }[head]  # fmt: skip
+        parse(text, str(path))
+    else:
+        s.parse_tuning(text, str(path))
+
+
 @click.command()
 @click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
 @click.option("--json", "as_json", is_flag=True, help="One JSON object a line.")
@@ -30,7 +58,7 @@
     for path in files:
         error = ""
         try:
-            program.check(path)
+            check_one(path)
         except (s.SettingsError, forms.FormError) as found:
             error, bad = str(found), True
         if as_json:
--- a/coveflow/whatif/size.py
+++ b/coveflow/whatif/size.py
@@ -1,8 +1,14 @@
-"""An evening of any size, made up, to measure the simulator itself."""
+"""An evening of any size, made up, to measure the simulator itself.
+
+`python -m coveflow.whatif.size TASKS MACHINES` plays one and prints what it cost on one core.
+"""
 
 from __future__ import annotations
 
 import math
+import resource
+import sys
+import time
 
 import numpy as np
 
@@ -55,3 +61,24 @@
         0.0, at, params, Tuning(), ["a", "b", "c"], [flavor], arrivals, ups, {}, {}, {}, {}, {},
         {k: machines for k in key}, {}, [], [], [], [], [], {}, [], [],
     )  # fmt: skip
+
+
+def main(tasks: int, machines: int) -> None:
+    from coveflow.whatif.changes import Changes
+    from coveflow.whatif.simulate import simulate
+
+    replay = evening(tasks, machines)
+    began = time.process_time()
+    outcome = simulate(replay, Changes(), 1)
+    took = time.process_time() - began
+    most = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    done = sum(job.status == "done" for job in outcome.jobs)
+    print(
+        f"{tasks} tasks on {machines} machines: {took:.1f} s of processor time, {most:.0f} MB;"
+        f" {done} of {len(outcome.jobs)} jobs done in {outcome.length:.0f} simulated s,"
+        f" {len(outcome.broken)} broken rules"
+    )
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]), int(sys.argv[2]))
--- a/tests/test_whatif.py
+++ b/tests/test_whatif.py
@@ -232,6 +232,17 @@
     assert abs(means[0] - means[1]) < 0.05 * means[1]
 
 
+def test_ten_times_the_tasks_cost_at_most_twelve_times_the_steps():
+    """Steps, not seconds, so that a busy machine cannot fail it; seconds are a command's."""
+    steps = []
+    for tasks in (300, 3000):
+        run = Run(evening(tasks, 20), ch.Changes(), 1, why=False)
+        outcome = run.play()
+        assert all(job.status == "done" for job in outcome.jobs)
+        steps.append(next(run.world.order))
+    assert steps[1] < 12 * steps[0]
+
+
 def test_a_trace_without_a_lead_is_named():
     with pytest.raises(TraceError, match="no lead begins"):
         build([Event(1, 5, 1.0, "placed", {"job": "j-1"})], "t")
