Simulator: unseen ends bounded, resets at a leader's end, drawn numbers of added arrivals

Cause, from replays of lab evenings against their traces: tasks that ended while nobody led were taken to run until the new leader heard of them, or had no length at all; a leader's end left workers waiting 4 s for an answer, so that leases of 5 s ran out in the replay that had not in the lab (one job took 65 s for 36); doubling made exactly twice the jobs, which no real evening does (87 tally jobs came where 105 were foreseen). Change: an end that no leader saw lies between the old one's loss and the new one's word, and is taken like the job's others within that; connections break with the process; the number of added jobs is Poisson's with a gamma for the rate.

--- a/coveflow/whatif/replay.py
+++ b/coveflow/whatif/replay.py
@@ -128,6 +128,18 @@
     return reader.result(params, tuning, flavors, rows[-1].at - start)
 
 
+@dataclass
+class _Run:
+    """One attempt that ran: s from its first report as running to its end."""
+
+    machine: str
+    ran: float
+    done: bool
+    saved: bool
+    # It ended unseen, while nobody led: at the least and at the most after so many s.
+    least: float | None = None
+
+
 class _Reader:
     """Collects what the events say; one pass."""
 
@@ -135,7 +147,7 @@
         self.start, self.notes = start, notes
         self.arrivals: dict[str, Arrival] = {}
         self.ends: dict[str, tuple[str, float]] = {}
-        self.runs: dict[tuple[str, int], list[tuple[str, float, bool, bool]]] = defaultdict(list)
+        self.runs: dict[tuple[str, int], list[_Run]] = defaultdict(list)
         self.told: dict[tuple[str, int, int], float] = {}
         self.running: dict[tuple[str, int, int], tuple[float, str]] = {}
         self.begun: dict[tuple[str, str], float] = {}  # machine, image: s from told to running
@@ -194,7 +206,7 @@
             since, machine = self.running.pop(key)
             # Began with the last thing that is known of the old lead: halfway to the new one.
             end = self.lost_at if self.lost_at > since else (since + self.led_at) / 2
-            self.runs[key[:2]].append((machine, end - since, True, False))
+            self.runs[key[:2]].append(_Run(machine, end - since, True, False))
             self.placed.append((machine, key[0], key[1], since, end))
         self.carried = set()
 
@@ -252,10 +264,18 @@
 
     def _ended(self, at: float, f: dict[str, Any]) -> None:
         key = (f["job"], f["task"], f["number"])
-        since = self.running.pop(key, (at, ""))[0]
-        if f["ran_s"] > 0:
-            self.runs[key[:2]].append((f["machine"], at - since, f["done"], f["saved"]))
-            self.placed.append((f["machine"], f["job"], f["task"], since, at))
+        since, machine = self.running.pop(key, (at, f["machine"]))
+        runs = self.runs[key[:2]]
+        if at > since:
+            run = _Run(machine, at - since, f["done"], f["saved"])
+            if f["done"] and f["ran_s"] <= 0 and self.lost_at > since:
+                # This leader found it ended: it ran until some time after the last one was lost.
+                run.least = self.lost_at - since
+            runs.append(run)
+            self.placed.append((machine, f["job"], f["task"], since, at))
+        elif f["done"] and runs and not runs[-1].done:
+            # It exits at once with a result: the attempt that was given up had completed.
+            runs[-1].done, runs[-1].least = True, 0.0
 
     # --- machines ----------------------------------------------------------------------
 
@@ -321,13 +341,13 @@
         """Run time on each machine over the job's typical one; 1 where little was seen."""
         by_job: dict[str, list[float]] = defaultdict(list)
         for (job, _), runs in self.runs.items():
-            by_job[job] += [ran for _, ran, done, _ in runs if done and len(runs) == 1]
+            by_job[job] += [r.ran for r in runs if r.done and len(runs) == 1 and r.least is None]
         typical = {job: statistics.median(v) for job, v in by_job.items() if len(v) >= 4}
         seen: dict[str, list[float]] = defaultdict(list)
         for (job, _), runs in self.runs.items():
-            for machine, ran, done, _ in runs:
-                if done and len(runs) == 1 and job in typical:
-                    seen[machine].append(ran / typical[job])
+            for run in runs:
+                if run.done and len(runs) == 1 and run.least is None and job in typical:
+                    seen[run.machine].append(run.ran / typical[job])
         # A few tasks say little of a machine: they count against eight that say nothing.
         return {
             machine: (8.0 + statistics.median(v) * len(v)) / (8.0 + len(v))
@@ -335,17 +355,26 @@
         }
 
     def _lengths(self, slow: dict[str, float]) -> None:
+        known: dict[str, list[float]] = defaultdict(list)
+        for (job, _), runs in self.runs.items():
+            if len(runs) == 1 and runs[0].done and runs[0].least is None:
+                known[job].append(runs[0].ran / slow.get(runs[0].machine, 1.0))
         for (job, task), runs in self.runs.items():
             arrival = self.arrivals.get(job)
             if arrival is None or task >= len(arrival.lengths):
                 continue
             every, total, done = arrival.spec.checkpoint_s, 0.0, False
-            for machine, ran, finished, saved in runs:
-                work = ran / slow.get(machine, 1.0)
-                if finished:
+            for run in runs:
+                speed = slow.get(run.machine, 1.0)
+                work = run.ran / speed
+                if run.least is not None:
+                    # As long as the job's others, within what is known of its end.
+                    like = statistics.median(known[job]) if known[job] else work
+                    work = min(max(like, run.least / speed), work)
+                if run.done:
                     total += work
                     done = True
-                elif saved:
+                elif run.saved:
                     total += work
                 elif every > 0:
                     total += work // every * every
--- a/coveflow/whatif/simulate.py
+++ b/coveflow/whatif/simulate.py
@@ -118,12 +118,17 @@
     def arrivals(self, replay: Replay, changes: Changes) -> list[tuple[Arrival, bool]]:
         """The jobs of this run, and whether a change added them.
 
-        More of a class means more jobs like its own: each added one is another recorded job of
-        the class that the change covers, at a time near a recorded arrival's.
+        More (or less) of a class means jobs like its own: each added one is another recorded job
+        of the class that the change covers, at a time near a recorded arrival's. How many come is
+        drawn: users do not agree with each other, so the number of a night is Poisson's, and the
+        recorded number says the rate only as well as one such night can (gamma).
         """
         by_class: dict[str, list[Arrival]] = defaultdict(list)
         for arrival in replay.arrivals:
             by_class[arrival.spec.workload].append(arrival)
+        rates = {
+            name: float(self.rng.gamma(len(rows)) / len(rows)) for name, rows in by_class.items()
+        }
         found: list[tuple[Arrival, bool]] = []
         number = 0
         for arrival in replay.arrivals:
@@ -133,7 +138,7 @@
                 if rule.covers(name, arrival.at):
                     factor, shift = factor * rule.factor, shift + rule.shift_s
                     rules.append(rule)
-            count = int(factor) + (self.rng.random() < factor - int(factor))
+            count = 1 if factor == 1.0 else int(self.rng.poisson(factor * rates[name]))
             at = max(0.0, arrival.at + shift)
             if count:
                 found.append((_moved(arrival, arrival.spec, at), False))
--- a/coveflow/whatif/world.py
+++ b/coveflow/whatif/world.py
@@ -235,6 +235,14 @@
 
     def crash(self, name: str, back_s: float = 8.0) -> None:
         self.owners[name] = None
+        if self.lean:
+            # Its end resets the connections on which answers were waited for.
+            for post in self.posts.values():
+                if post.waiting and post.node == name:
+                    self.at(
+                        self.network.latency(),
+                        lambda post=post, counter=post.waiting: self._refused(post, counter),
+                    )
         self.at(back_s, lambda: self.boot(name))
 
     def lose_leader(self, back_s: float) -> None:
