lab check: judge the history that a lab left in its folder

Need: a lab that was played for an hour should not have to be played again to know whether a rule broke. Change: the histories of workers and users in a lab's folder are read by the checker; half a last line, as a kill leaves it, is left out.

--- a/coveflow/cli/lab.py
+++ b/coveflow/cli/lab.py
@@ -303,6 +303,22 @@
     sys.exit(1 if broken else 0)
 
 
+@lab.command()
+@click.argument("folder", type=click.Path(path_type=Path))
+def check(folder: Path) -> None:
+    """Read the history that a lab left in FOLDER and name any broken rule of the protocol."""
+    from coveflow.lab.cluster import judge
+
+    try:
+        broken = judge(folder)
+    except LabError as error:
+        raise UserError(str(error)) from error
+    for b in broken:
+        click.echo(f"{b.rule} at {b.at:.2f}: {b.text}")
+    click.echo("no rule was broken" if not broken else f"{len(broken)} broken rules")
+    sys.exit(1 if broken else 0)
+
+
 @lab.command("record-kills")
 @click.option("--times", default=200, show_default=True)
 @click.option("--seed", default=1, show_default=True)
--- a/coveflow/lab/cluster.py
+++ b/coveflow/lab/cluster.py
@@ -279,6 +279,22 @@
         return Checker(self.site.teams, self.site.workers["cancel-s"]).read(rows)
 
 
+def judge(folder: Path) -> list[Broken]:
+    """The rules that the history kept in a lab's folder breaks. Raises LabError without one."""
+    rows: list[dict[str, Any]] = []
+    try:
+        site = sites.load(folder / "lab.scm")
+        for name in ("history-fleet.jsonl", "history-users.jsonl"):
+            with (folder / name).open(encoding="utf-8") as lines:
+                rows += [json.loads(line) for line in lines if line.endswith("\n")]
+    except (OSError, ValueError) as error:
+        raise LabError(f"{folder}: no whole history of a lab there: {error}") from error
+    for row in rows:
+        if "spec" in row:
+            row["spec"] = msgspec.convert(row["spec"], Spec)
+    return Checker(site.teams, site.workers["cancel-s"]).read(rows)
+
+
 async def _healthy(session: aiohttp.ClientSession, node: str) -> bool:
     try:
         async with session.get(
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,8 +1,10 @@
 """The lab's stand-ins: what the checker notices, what a worker and a store may do, bad files."""
 
+import json
 import math
 from pathlib import Path
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -11,6 +13,7 @@
 from coveflow.core.model import Order
 from coveflow.lab import faults, site
 from coveflow.lab.check import Checker
+from coveflow.lab.cluster import LabError, judge
 from coveflow.lab.store import Failed, Store, TooOld
 from coveflow.lab.truth import Truth
 from coveflow.lab.worker import Worker
@@ -278,3 +281,22 @@
     for parse in (site.parse, faults.parse):
         with pytest.raises(forms.FormError):
             parse(forms.show(["lab", *items]), "f")
+
+
+def test_a_labs_history_is_judged_from_its_folder(tmp_path):
+    (tmp_path / "lab.scm").write_text(Path(LAB).read_text(encoding="utf-8"))
+    users = [
+        submitted(team="analytics") | {"spec": msgspec.to_builtins(spec(JOB, team="analytics"))}
+    ]
+    fleet = [on(1), on(2, kind="off", why="done"), on(3, "n-2")]
+    for name, rows in (("users", users), ("fleet", fleet)):
+        text = "".join(json.dumps(row) + "\n" for row in rows)
+        # A kill may leave half a line behind.
+        (tmp_path / f"history-{name}.jsonl").write_text(text + '{"at": 9, "ki')
+    assert judge(tmp_path) == []
+    (tmp_path / "history-fleet.jsonl").write_text(
+        "".join(json.dumps(row) + "\n" for row in [*fleet, on(4, "n-3")])
+    )
+    assert [b.rule for b in judge(tmp_path)] == ["ran_twice"]
+    with pytest.raises(LabError, match="no whole history"):
+        judge(tmp_path / "nowhere")
