--- a/coveflow/cli/whatif.py
+++ b/coveflow/cli/whatif.py
@@ -24,12 +24,14 @@
 @click.option("--first-seed", default=1, show_default=True)
 @click.option("--by", "by", help="Will it be done by then? HH:MM, or seconds after the start.")
 @click.option("--class", "workload", help="Ask that of this class only.")
+@click.option("--against", type=FOLDER, help="Trace of the evening that then came.")
 @click.option("--out", type=FOLDER, help="Folder for report.html, summary.json, jobs.parquet.")
 @click.option("--processes", type=int, help="Runs at the same time; default: one per core.")
 @click.option("--json", "as_json", is_flag=True, help="The summary as JSON.")
 def whatif(
     trace: Path, change: Path | None, seeds: int, first_seed: int, by: str | None,
-    workload: str | None, out: Path | None, processes: int | None, as_json: bool,
+    workload: str | None, against: Path | None, out: Path | None, processes: int | None,
+    as_json: bool,
 ) -> None:  # fmt: skip
     """Replay TRACE, changed or not, and say when each job would have been done."""
     from coveflow.trace.files import TraceError
@@ -43,6 +45,7 @@
     console = Console(stderr=True)
     try:
         replay = rp.load(trace)
+        came = rp.load(against) if against is not None else None
     except TraceError as error:
         raise UserError(str(error)) from error
     changes = ch.load(change, replay.start) if change is not None else ch.Changes()
@@ -69,6 +72,14 @@
         if question is not None:
             click.echo(answer(found, question))
         _print(found, Console())
+    for row in found.against(came) if came is not None else ():
+        held = "inside" if row["inside"] else "outside"
+        click.echo(
+            f"{row['class']} {row['figure']}: came {row['came']:.1f}, foreseen"
+            f" {row['foreseen']:.1f} ({row['low']:.1f} to {row['high']:.1f}),"
+            f" off by {row['off']:+.1%}, {held} the range",
+            err=as_json,
+        )
     sys.exit(1 if found.broken() else 0)
 
 
--- a/coveflow/whatif/study.py
+++ b/coveflow/whatif/study.py
@@ -186,6 +186,28 @@
             if job.recorded_s and not math.isnan(job.took_s.median)
         ]
 
+    def against(self, other: Replay) -> list[dict[str, Any]]:
+        """What was foreseen against an evening that then came: per class two figures.
+
+        Each row has the class, the figure's name, what came, the range and whether it held it.
+        """
+        seen = Study(other, self.changes, []) if other is not self.replay else self
+        rows = []
+        for view in self.classes:
+            came = seen.recorded_class(view.name)
+            for name, told in (("took_s", view.took_s), ("last_end_s", view.last_end_s)):
+                value = came[name]
+                if value is None or math.isnan(told.median):
+                    continue
+                rows.append(
+                    {
+                        "class": view.name, "figure": name, "came": value, "foreseen": told.median,
+                        "low": told.low, "high": told.high, "inside": told.holds(value),
+                        "off": (told.median - value) / value,
+                    }
+                )  # fmt: skip
+        return rows
+
     def became_late(self) -> list[JobView]:
         """Late in at least half of the runs, and not so in the trace; the worst first."""
         found = []
--- a/tests/test_whatif.py
+++ b/tests/test_whatif.py
@@ -214,6 +214,20 @@
     assert "Will sort be done by 60?" in late and "full" in late
 
 
+def test_what_was_foreseen_is_held_against_what_came():
+    told = Told()
+    for i in range(6):
+        told.job(5.0 * i, f"j-{i}", ran=10.0)
+    slower = Told()
+    for i in range(6):
+        slower.job(5.0 * i, f"j-{i}", ran=30.0)
+    found = study(told.replay(), ch.Changes(), [1, 2, 3], processes=1)
+    same, other = found.against(told.replay()), found.against(slower.replay())
+    assert [row["figure"] for row in same] == ["took_s", "last_end_s"]
+    assert all(abs(row["off"]) < 0.15 for row in same)
+    assert not any(row["inside"] for row in other) and all(row["off"] < -0.3 for row in other)
+
+
 def test_the_same_seed_is_the_same_run_and_another_is_another():
     replay = evening(600, 8)
     first, again, other = (simulate(replay, ch.Changes(), seed) for seed in (3, 3, 4))
