Simulator: the same seed is the same run in every process

Change: the runs' processes start with one order of hashes; touched machines keep the order they came in.

--- a/coveflow/lab/serve.py
+++ b/coveflow/lab/serve.py
@@ -274,7 +274,7 @@
 
     def poke_changed(self) -> None:
         """Wake those whose tasks changed: a gang's end on one machine changes others."""
-        touched, self.truth.touched = self.truth.touched, set()
+        touched, self.truth.touched = self.truth.touched, {}
         for worker in touched:
             if worker.name in self.pokes:
                 self.pokes[worker.name].set()
--- a/coveflow/lab/truth.py
+++ b/coveflow/lab/truth.py
@@ -33,7 +33,8 @@
         self.saved: dict[tuple[str, int], float] = {}  # s of work; gangs under task -1
         self.done: set[tuple[str, int]] = set()
         self.gangs: dict[tuple[str, int], Gang] = {}
-        self.touched: set[Worker] = set()  # machines whose tasks changed by themselves
+        # Machines whose tasks changed by themselves; in order, as a set of objects has none.
+        self.touched: dict[Worker, None] = {}
         self.broken: set[str] = set()  # jobs submitted with a mistake: they fail everywhere
 
     def upload(self, spec: Spec) -> None:
--- a/coveflow/lab/worker.py
+++ b/coveflow/lab/worker.py
@@ -188,7 +188,7 @@
 
     def _touch(self) -> None:
         self.changed = True
-        self.truth.touched.add(self)
+        self.truth.touched[self] = None
 
     def _progress(self, attempt: Attempt, now: float) -> float:
         if attempt.began is None:
--- a/coveflow/whatif/study.py
+++ b/coveflow/whatif/study.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 import multiprocessing
 import os
 import statistics
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from dataclasses import dataclass, field
 from typing import Any
@@ -316,6 +317,20 @@
         }
 
 
+@contextlib.contextmanager
+def _environment(name: str, value: str) -> Iterator[None]:
+    """A variable for the processes that are started meanwhile."""
+    before = os.environ.get(name)
+    os.environ[name] = value
+    try:
+        yield
+    finally:
+        if before is None:
+            del os.environ[name]
+        else:
+            os.environ[name] = before
+
+
 def _begin(replay: Replay, changes: Changes) -> None:
     _shared["replay"], _shared["changes"] = replay, changes
 
@@ -342,7 +357,11 @@
         return Study(replay, changes, outcomes)
     context = multiprocessing.get_context("spawn")
     outcomes = []
-    with ProcessPoolExecutor(count, context, _begin, (replay, changes)) as pool:
+    # The planner walks sets of names: with one order of them a seed is the same run everywhere.
+    with (
+        _environment("PYTHONHASHSEED", "0"),
+        ProcessPoolExecutor(count, context, _begin, (replay, changes)) as pool,
+    ):
         waiting = [pool.submit(_one, seed, bars) for seed in seeds]
         for future in as_completed(waiting):
             outcomes.append(future.result())
--- a/coveflow/whatif/world.py
+++ b/coveflow/whatif/world.py
@@ -461,7 +461,7 @@
     def _touched(self) -> None:
         """Others whose tasks changed with a gang, and the gangs' own next moment."""
         if self.truth.touched:
-            touched, self.truth.touched = self.truth.touched, set()
+            touched, self.truth.touched = self.truth.touched, {}
             for worker in touched:
                 post = self.posts.get(worker.name)
                 if post is not None:
