--- a/coveflow/cli/jobs.py
+++ b/coveflow/cli/jobs.py
@@ -15,6 +15,7 @@
 from coveflow import settings as s
 from coveflow import wire
 from coveflow.cli.errors import UserError
+from coveflow.cli.labs import running
 from coveflow.client import Client, GaveUp, Refused
 from coveflow.daemon.operators import DRAIN, HELD, RELEASE
 
@@ -27,17 +28,10 @@
     if at:
         return [part.strip() for part in at.split(",")]
     if lab is not None:
-        return _lab(lab)["nodes"]
+        return running(lab)["nodes"]
     raise UserError("where? give --at HOST:PORT (or COVEFLOW_AT), or --lab FOLDER")
 
 
-def _lab(folder: Path) -> dict[str, Any]:
-    try:
-        return json.loads((folder / "lab.json").read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
-        raise UserError(f"no lab runs in {folder}; start one: coveflow lab up") from error
-
-
 def where(command: Callable[..., Any]) -> Callable[..., Any]:
     command = click.option("--lab", type=FOLDER, help="Folder of a running lab.")(command)
     return click.option(
@@ -90,7 +84,7 @@
         if lab is not None:
             import msgspec
 
-            port = _lab(lab)["lab"]
+            port = running(lab)["lab"]
             body = wire.pack({"spec": msgspec.to_builtins(spec)})
             async with session.post(f"http://127.0.0.1:{port}/lab/upload", data=body):
                 pass
--- a/coveflow/cli/lab.py
+++ b/coveflow/cli/lab.py
@@ -24,6 +24,7 @@
 from rich.text import Text
 
 from coveflow.cli.errors import UserError
+from coveflow.cli.labs import running
 from coveflow.lab import faults as fl
 from coveflow.lab import site as sites
 from coveflow.lab import workload
@@ -375,18 +376,11 @@
 
 def _where(folder: Path) -> None:
     click.echo(f"settings: {folder / 'host-0.toml'}")
-    click.echo(f"users:    {' '.join(_read(folder)['nodes'])}")
+    click.echo(f"users:    {' '.join(running(folder)['nodes'])}")
     click.echo(f"try:      coveflow submit --lab {folder} --class tally")
     click.echo(f"end:      coveflow lab down --folder {folder}")
 
 
-def _read(folder: Path) -> dict[str, Any]:
-    try:
-        return json.loads((folder / "lab.json").read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
-        raise UserError(f"no lab runs in {folder}; start one: coveflow lab up") from error
-
-
 def _detached(path: Path, folder: Path, tuning: Path | None) -> None:
     folder.mkdir(parents=True, exist_ok=True)
     (folder / "lab.json").unlink(missing_ok=True)
@@ -418,7 +412,7 @@
 @click.option("--folder", type=click.Path(path_type=Path), default="lab-run", show_default=True)
 def down(folder: Path) -> None:
     """End a lab that `lab up` left running."""
-    pid = _read(folder)["pid"]
+    pid = running(folder)["pid"]
     with contextlib.suppress(ProcessLookupError):
         os.kill(pid, signal.SIGTERM)
     ends = time.monotonic() + 15
