Room for another interface on the core: riders, tasks' own word, ends told in the same commit

A job may carry a rider, which no decision reads and which its final record keeps; the accepted record may hold its tasks' own word on how they ended (guarded like a cancellation, so it cannot race the final record), which counts as done whatever becomes of the machine after; held work of such a job is ended by the system as a cancellation is, with the reason; news of final records goes with the very transaction that writes them. Front.look and Front.amend are what status and abort did, apart from their answers.

--- a/coveflow/cli/daemon.py
+++ b/coveflow/cli/daemon.py
@@ -9,9 +9,8 @@
 
 import click
 
-from coveflow import forms
+from coveflow import forms, program
 from coveflow import settings as s
-from coveflow.daemon import program
 
 
 @click.command()
--- a/coveflow/core/model.py
+++ b/coveflow/core/model.py
@@ -149,6 +149,11 @@
     repeat: bool = True  # its class allows that an attempt is made again, or stopped for others
     held: set[int] = set()  # tasks that wait for an operator's word, as they may have run
     given_up: set[int] = set()  # tasks that an operator said will never run again
+    # Jobs of another interface: what it keeps with the job, its tasks' own word on how they ended,
+    # and why the system ended the job, if it did.
+    rider: Any = None
+    outcome: dict[str, Any] = {}
+    failed: str = ""
 
     @property
     def id(self) -> str:
--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -236,7 +236,7 @@
             entry = self.owner.inbox.accepted.get(t.job)
             if (entry is not None and entry.cancelled is not None) or (
                 t.job in self.peers.cancelled
-                or self.owner.inbox.terminal.get(t.job, ("",))[0] == "cancelled"
+                or self.owner.inbox.terminal.get(t.job, {}).get("status") == "cancelled"
             ):
                 orders.append(Order("stop", t.job, t.task, t.number))
         return orders
--- a/coveflow/daemon/around.py
+++ b/coveflow/daemon/around.py
@@ -26,6 +26,9 @@
     effects: Callable[[str, Any], None] = lambda kind, data: None
     peer_hears: Callable[[str, float], bool] = lambda machine, within: False
     peers_known: Callable[[], bool] = lambda: True
+    # Another interface's news of final records: (a number used once, records by job) to the keys
+    # that the same transaction writes; None: there is no such interface.
+    finals: Callable[[str, dict[str, Any]], dict[str, Any]] | None = None
     trace: Tracer | None = None  # hears of decisions and evidence, if the operators want that
     # What virtual time puts in place of its own: how orders leave, and how long a pass took, which
     # decides when the next one comes.
--- a/coveflow/daemon/book.py
+++ b/coveflow/daemon/book.py
@@ -84,6 +84,7 @@
                 # A spot machine may be taken at any time, and this work may not begin anew.
                 spec = msgspec.structs.replace(spec, spot=False)
             job = Job(spec, entry.at, entry.rev, seen_at=self.around.clock(), repeat=repeat)
+            job.rider = entry.rider
             job.refill()
             self.jobs[job.id] = job
             self.arrivals = True
@@ -99,6 +100,12 @@
             )
             self.tell("accepted", **self.accepted_fields(job))
         job.rev = max(job.rev, entry.rev)
+        if entry.outcome:
+            job.outcome = entry.outcome
+            self._unhold(job)
+        if entry.cancelled is not None and job.failed:
+            # Its user cancelled it before the system's own end was committed: that word counts.
+            job.cancelled, job.failed = entry.cancelled, ""
         if entry.cancelled is not None and job.cancelled is None:
             job.cancelled = entry.cancelled
             log.info("job cancelled", job=job.id, tasks_to_end=len(job.placed))
@@ -150,6 +157,8 @@
         self.unsettled[job.id] = self.unsettled.get(job.id, 0) + 1
         if job.placed.get(p.task) is p:
             del job.placed[p.task]
+        # Its own word is committed, so it had completed, whatever became of its machine since.
+        done = done or self._told_its_end(job, p.task)
         if done:
             job.mark_done(p.task)
         else:
@@ -212,6 +221,40 @@
             cure="coveflow held again, or give-up",
         )  # fmt: skip
         self.tell("held", job=p.job, task=p.task, number=p.number, machine=p.machine, why=why)
+        self.fail_held(job)
+
+    def _told_its_end(self, job: Job, task: int) -> bool:
+        """Whether the task's own word on its end is committed; a gang ends when all have spoken."""
+        if job.spec.kind == "gang":
+            return len(job.outcome) == job.spec.tasks
+        return str(task) in job.outcome
+
+    def _unhold(self, job: Job) -> None:
+        """The word of a lost attempt came in late: it had completed, and nothing is to be held."""
+        told = [task for task in job.held if self._told_its_end(job, task)]
+        for task in told:
+            job.held.discard(task)
+            job.mark_done(task)
+            self.held_due[job.id] = None
+            self._dirty_task(job, task)
+        if told and not job.held and job.failed:
+            job.cancelled, job.failed = None, ""
+
+    def fail_held(self, job: Job) -> None:
+        """Held work of another interface, whose users expect an end: the system ends it.
+
+        Like a cancellation, so everything that ends cancelled work by evidence holds for it too.
+        """
+        if job.rider is None or not job.held or job.cancelled is not None:
+            return
+        tasks = ", ".join(map(str, sorted(job.held)[:5]))
+        job.failed = f"task {tasks} may have run when it was lost, and its class allows no repeat"
+        job.cancelled = self.around.wall()
+        log.warning("job failed", job=job.id, why=job.failed)
+        self.tell("failed", job=job.id, why=job.failed)
+        for p in job.placed.values():
+            self.stop(p, 0.0, "its job failed")
+        self.dirty_jobs[job.id] = None
 
     def release(self, command: Release) -> None:
         """Answered once it is committed; until then the tasks are neither held nor free."""
--- a/coveflow/daemon/commands.py
+++ b/coveflow/daemon/commands.py
@@ -48,6 +48,17 @@
     at: float
     rev: int
     cancelled: float | None
+    # What another interface keeps with the job: carried to its final record, read by no decision.
+    rider: Any = None
+    # Of a job with a rider: what its tasks' own word was, by task; committed before the task ends.
+    outcome: dict[str, Any] = {}
+
+
+def accepted_of(spec: Spec, value: dict[str, Any], rev: int) -> Accepted:
+    """The record of an accepted job as this node keeps it."""
+    return Accepted(
+        spec, value["at"], rev, value.get("cancel"), value.get("rider"), value.get("outcome") or {}
+    )
 
 
 class End(msgspec.Struct, eq=False):
--- a/coveflow/daemon/commits.py
+++ b/coveflow/daemon/commits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from coveflow import constants as c
 from coveflow.core.model import Job, Machine, ranges
@@ -45,6 +46,7 @@
         self.history_rev = 0
         self.history_at = 0.0
         self.history_due = False
+        self.told = 0  # ends told to another interface in this lead, failed transactions included
 
     def tick(self, now: float) -> None:
         if self.book.predictor.changed and now - self.history_at > c.HISTORY_WRITE_S:
@@ -146,7 +148,7 @@
 
     def _add_finished(self, txn: Txn, draft: Draft, finish: list[Job], limit: int) -> None:
         for job in finish:
-            if len(draft.contents) + len(txn.writes) + 2 > limit - 1:
+            if len(draft.contents) + len(txn.writes) + 2 > limit - 1 - bool(self.around.finals):
                 break
             if self.book.unsettled.get(job.id):
                 continue
@@ -154,13 +156,20 @@
                 break
             status = "done" if job.complete and job.cancelled is None else "cancelled"
             txn.guards[OLD + job.id] = 0
-            txn.writes[OLD + job.id] = {"status": status, "done": len(job.done)}
+            txn.writes[OLD + job.id] = final_record(job, status)
             # Guarding the accepted record settles the race with a cancellation.
             txn.guards[JOB + job.id] = job.rev
             txn.writes[JOB + job.id] = None
             job.finishing = True
             txn.finished.append(job)
             self.book.dirty_jobs.pop(job.id, None)
+        if self.around.finals is not None and txn.finished:
+            # News of ends for another interface, under a key of its own: nothing can collide.
+            ended = {job.id: txn.writes[OLD + job.id] for job in txn.finished}
+            self.told += 1
+            for key, value in self.around.finals(f"{self.book.leading}-{self.told}", ended).items():
+                txn.guards[key] = 0
+                txn.writes[key] = value
 
     # --- settling ----------------------------------------------------------------------
 
@@ -207,12 +216,13 @@
         for m in txn.removed:
             self._forget_machine(m)
         for job in txn.finished:
-            status = txn.writes[OLD + job.id]["status"]
+            record = txn.writes[OLD + job.id]
+            status = record["status"]
             log.info("job over", job=job.id, status=status)
             book.tell("over", job=job.id, status=status, done=len(job.done))
             book.jobs.pop(job.id, None)
             book.unsettled.pop(job.id, None)
-            self.inbox.ended(job.id, status, len(job.done), rev)
+            self.inbox.ended(job.id, record, rev)
 
     def _released(self, job: Job, tasks: list[int], command: Release) -> None:
         """An operator's word is committed: it counts, and the operator hears so."""
@@ -278,6 +288,16 @@
         self.next_commit = self.around.clock() + c.RETRY_S
 
 
+def final_record(job: Job, status: str) -> dict[str, Any]:
+    """What the store keeps of a job for ever."""
+    record: dict[str, Any] = {"status": status, "done": len(job.done)}
+    if job.rider is not None:
+        record |= {"rider": job.rider, "outcome": job.outcome}
+        if job.failed:
+            record["failed"] = job.failed
+    return record
+
+
 def held_value(job: Job) -> list[list[int]] | None:
     """A job's held and given-up tasks as ranges; None when there are none."""
     if not job.held and not job.given_up:
--- a/coveflow/daemon/front.py
+++ b/coveflow/daemon/front.py
@@ -54,6 +54,8 @@
         self.asked: dict[str, asyncio.Future[Checked]] = {}  # polls that share the next check
         self.checking: asyncio.Task[None] | None = None
         self.cancels: dict[str, float] = {}  # what this process told users, for its peers
+        # What another interface serves here: by the path's beginning.
+        self.extra: dict[str, Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]] = {}
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         path, method = request.path, request.method
@@ -72,6 +74,9 @@
                 if method == "POST" and rest != name and wire.JOB_ID.fullmatch(name):
                     await read_body(request)
                     return await self.abort(name)
+            for beginning, serve in self.extra.items():
+                if path.startswith(beginning):
+                    return await serve(request)
             return answer(404, wire.error("no such path or job"))
         except TooLarge:
             return web.Response(status=413, headers={"Connection": "close"})
@@ -188,26 +193,36 @@
 
     async def status(self, name: str) -> web.StreamResponse | None:
         """The job's state by the store's word, or None if it was never accepted."""
+        found = await self.look(name)
+        if found is None:
+            return None
+        if isinstance(found, cm.Accepted):
+            return self._state(name, found.cancelled is not None)
+        return answer(200, wire.job_answer(name, found["status"], found["done"]))
+
+    async def look(self, name: str) -> cm.Accepted | dict[str, Any] | None:
+        """A job by the store's word: accepted, its final record, or None if never accepted.
+
+        Raises Unavailable where the store's word is not to be had.
+        """
         final = self.owner.inbox.terminal.get(name)
         if final is not None:
-            return answer(200, wire.job_answer(name, final[0], final[1]))
+            return final
         checked = await self._checked(name)
         if checked.same:
             # What was compared counts, not what this node knows by now.
-            known = checked.known
-            return self._state(name, known.cancelled is not None) if known is not None else None
-        value, _ = await self.store.get(cm.JOB + name)
+            return checked.known
+        value, rev = await self.store.get(cm.JOB + name)
         if value is not None:
-            return self._state(name, value.get("cancel") is not None)
+            return cm.accepted_of(msgspec.convert(value["spec"], Spec), value, rev)
         # Jobs only ever move from the one key to the other, so this order misses none.
         value, _ = await self.store.get(cm.OLD + name)
-        if value is None:
-            return None
-        self.owner.inbox.remember_terminal(name, value["status"], value["done"])
-        return answer(200, wire.job_answer(name, value["status"], value["done"]))
+        if value is not None:
+            self.owner.inbox.remember_terminal(name, value)
+        return value
 
     def _state(self, name: str, cancelled: bool) -> web.StreamResponse:
-        done, running = self._counts(name)
+        done, running, _ = self.counts(name)
         if cancelled:
             return answer(200, wire.job_answer(name, "cancelled", done))
         state = "running" if running else "queued"
@@ -268,12 +283,15 @@
                     future.set_result(Checked(not changed, compared[name]))
             await asyncio.sleep(c.POLL_PACE_S)
 
-    def _counts(self, name: str) -> tuple[int, int]:
+    def counts(self, name: str) -> tuple[int, int, int]:
+        """Done, running and (of another interface's jobs) placed tasks, as last heard."""
         if self.owner.leading:
-            return self.owner.counts.get(name, (0, 0))
-        peer = self.peers.get(self.owner.inbox.view.leader)
-        counts = peer.counts.get(name) if peer is not None else None
-        return (counts[0], counts[1]) if counts else (0, 0)
+            counts = self.owner.counts.get(name, ())
+        else:
+            peer = self.peers.get(self.owner.inbox.view.leader)
+            counts = tuple(peer.counts.get(name, ())) if peer is not None else ()
+        done, running, placed = (*counts, 0, 0, 0)[:3]
+        return done, running, placed
 
     async def poll(self, name: str) -> web.StreamResponse:
         try:
@@ -284,25 +302,48 @@
         return known or answer(404, wire.error("no such job"))
 
     async def abort(self, name: str) -> web.StreamResponse:
+        if await self.cancel(name):
+            return answer(200, wire.job_answer(name, "cancelled"))
+        known = await self.status(name)
+        return known or answer(404, wire.error("no such job"))
+
+    async def cancel(self, name: str) -> bool:
+        """Commit that the user cancelled the job; False if it is over or was never accepted."""
+
+        def mark(value: dict[str, Any]) -> dict[str, Any] | None:
+            return {**value, "cancel": self.wall()} if value.get("cancel") is None else None
+
+        if not await self.amend(name, mark):
+            return False
+        # Peers must learn of it from this process before its user does.
+        self.cancels[name] = self.clock()
+        log.info("job cancelled by its user", job=name)
+        return True
+
+    async def amend(
+        self, name: str, change: Callable[[dict[str, Any]], dict[str, Any] | None]
+    ) -> bool:
+        """Change an accepted job's record, whatever else changes it; False if it is not there.
+
+        `change` takes the record as the store has it, and gives the new one, or None where it is
+        as wanted already. Raises Unavailable or Unsure when the store's word does not come.
+        """
         deadline = self.clock() + SUBMIT_S
         while True:
             value, rev = await self.store.get(cm.JOB + name)
             if value is None:
-                known = await self.status(name)
-                return known or answer(404, wire.error("no such job"))
-            if value.get("cancel") is None:
-                value = {**value, "cancel": self.wall()}
-                try:
-                    rev = await self.store.sure_commit(
-                        {cm.JOB + name: rev}, {cm.JOB + name: value}, deadline
-                    )
-                except Conflict:
-                    continue
-                self.owner.put(cm.InboxRows([(cm.JOB + name, value, rev)]))
-            # Peers must learn of it from this process before its user does.
-            self.cancels[name] = self.clock()
-            log.info("job cancelled by its user", job=name)
-            return answer(200, wire.job_answer(name, "cancelled"))
+                return False
+            new = change(value)
+            if new is None:
+                return True
+            try:
+                rev = await self.store.sure_commit(
+                    {cm.JOB + name: rev}, {cm.JOB + name: new}, deadline
+                )
+            except Conflict:
+                continue
+            self.owner.put(cm.InboxRows([(cm.JOB + name, new, rev)]))
+            return True
 
     def recent_cancels(self) -> list[str]:
         limit = self.settings.params.workers.cancel_s * 4
--- a/coveflow/daemon/inbox.py
+++ b/coveflow/daemon/inbox.py
@@ -20,6 +20,7 @@
     Accepted,
     InboxRows,
     View,
+    accepted_of,
 )
 from coveflow.logs import Log
 
@@ -36,7 +37,7 @@
         self.accepted: dict[str, Accepted] = {}
         self.flavors: dict[str, Flavor] = {}
         self.types_rev = 0
-        self.terminal: OrderedDict[str, tuple[str, int]] = OrderedDict()
+        self.terminal: OrderedDict[str, dict[str, Any]] = OrderedDict()  # final records
         self.rev = -1
         self.removed: OrderedDict[str, int] = OrderedDict()  # jobs over, by their last revision
         self.on_job: Callable[[Accepted], None] = lambda entry: None
@@ -95,19 +96,19 @@
             # taken in again that way once conflicted with its own final record.
             return
         spec = known.spec if known is not None else msgspec.convert(value["spec"], Spec)
-        entry = Accepted(spec, value["at"], rev, value.get("cancel"))
+        entry = accepted_of(spec, value, rev)
         self.accepted[name] = entry
         self.on_job(entry)
 
-    def remember_terminal(self, job: str, status: str, done: int) -> None:
+    def remember_terminal(self, job: str, record: dict[str, Any]) -> None:
         """A final state never changes, so it may be told without asking again."""
-        self.terminal[job] = (status, done)
+        self.terminal[job] = record
         if len(self.terminal) > c.TERMINAL_CACHE:
             self.terminal.popitem(last=False)
 
-    def ended(self, job: str, status: str, done: int, rev: int) -> None:
+    def ended(self, job: str, record: dict[str, Any], rev: int) -> None:
         """This node committed the job's final state at that revision."""
-        self.remember_terminal(job, status, done)
+        self.remember_terminal(job, record)
         self.accepted.pop(job, None)
         self.removed[job] = rev
         if len(self.removed) > c.REMOVED_KEPT:
--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 import uuid
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import aiohttp
@@ -91,6 +91,8 @@
         self.owner.around.peers_known = self.peers.all_fresh
         self.tasks: set[asyncio.Task[None]] = set()
         self.lead_tasks: set[asyncio.Task[None]] = set()
+        # What another interface does for as long as the node runs.
+        self.loops: list[Callable[[], Coroutine[Any, Any, None]]] = []
 
     # --- what peers are told -------------------------------------------------------------
 
@@ -305,6 +307,7 @@
             self._types(),
             self._listing(),
             *(self.peers.run(peer) for peer in self.peers.peers.values()),
+            *(loop() for loop in self.loops),
         ]
         await asyncio.gather(*(self._forever(loop) for loop in loops))
 
--- a/coveflow/daemon/owner.py
+++ b/coveflow/daemon/owner.py
@@ -73,7 +73,8 @@
         self.commits = Commits(around, inbox, self.book, self.step_down)
         self.keeper = Keeper(around, inbox, self.book)
         self.planning = Planning(around, inbox, self.book, self.keeper.rent)
-        self.counts: dict[str, tuple[int, int]] = {}  # done and running tasks, for users
+        # Done and running tasks, for users; of another interface's jobs also those placed.
+        self.counts: dict[str, tuple[int, ...]] = {}
 
     @property
     def leading(self) -> int:
@@ -260,6 +261,7 @@
             job.id: (
                 len(job.done),
                 sum(1 for p in job.placed.values() if p.state == "running"),
+                *((len(job.placed),) if job.rider is not None else ()),
             )
             for job in self.book.jobs.values()
         }
--- a/coveflow/daemon/restore.py
+++ b/coveflow/daemon/restore.py
@@ -54,6 +54,7 @@
             for task in range(job.spec.tasks):
                 job.mark_done(task)  # they complete together
         job.refill()
+        book.fail_held(job)
         if job.over:
             book.dirty_jobs[job.id] = None
     return history_rev
--- a/coveflow/daemon/program.py
+++ b/coveflow/program.py
@@ -23,6 +23,11 @@
         type=Path,
         help="operator's S-expressions (default: coveflow.scm beside the program, if it is there)",
     )
+    p.add_argument(
+        "--tls",
+        action="store_true",
+        help="load TLS, which a listener with a certificate needs and nothing else does",
+    )
     sub = p.add_subparsers(dest="command")
     check = sub.add_parser("check", help="check settings files (.toml) and tuning files")
     check.add_argument("files", metavar="FILE", nargs="+", type=Path)
@@ -48,7 +53,12 @@
     from coveflow.daemon.node import Node
 
     async def run() -> None:
-        await Node(settings, tuning).run()
+        node = Node(settings, tuning)
+        if tuning.tes is not None:
+            from coveflow.tes import start
+
+            start.attach(node, tuning.tes, (tuning_file or default).parent)
+        await node.run()
 
     try:
         asyncio.run(run())
--- a/coveflow/settings.py
+++ b/coveflow/settings.py
@@ -101,6 +101,28 @@
     repeat: bool = True  # an attempt that was lost or stopped may be made again
 
 
+class Tes(msgspec.Struct, frozen=True, rename="kebab", forbid_unknown_fields=True):
+    """The GA4GH task execution API: `(tes (port 8090) (tokens FILE) ...)`; without it, none."""
+
+    port: Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0  # on the host of `front`; 0: `listen`
+    listen: dict[str, str] = {}  # address by controller, where one port does not fit all
+    tokens: str = ""  # file of the clients' tokens; relative to the operators' file
+    certificate: str = ""  # PEM files; without them plain HTTP
+    key: str = ""
+    plain: bool = False  # plain HTTP also beyond loopback
+    part: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.25  # of this node's share of the store
+    retention_h: Positive = 168.0  # h a task is kept after its end
+    body_kb: Annotated[float, msgspec.Meta(gt=0, le=16384)] = 1024.0  # KiB of a request's body
+    connections: Annotated[int, msgspec.Meta(ge=1)] = 200
+    slow_s: Positive = 10.0  # s that a client may take over its request
+    page: Annotated[int, msgspec.Meta(ge=1, le=2047)] = 256  # tasks on a page by default
+    image_gb: NotNegative = 1.0  # GB of an image whose client does not say
+    storage: tuple[str, ...] = ("file:///",)  # beginnings of the urls that machines can reach
+    name: str = "coveflow"
+    organization: str = "coveflow"
+    organization_url: str = "https://example.org"
+
+
 class Tuning(msgspec.Struct, frozen=True, rename="kebab", forbid_unknown_fields=True):
     """What an operator may tune; one S-expression form `(key value)` each."""
 
@@ -118,6 +140,7 @@
     idle_s: NotNegative = 20.0
     trace: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0  # events kept for a recorder
     classes: dict[str, ClassRules] = {}
+    tes: Tes | None = None
 
     def repeats(self, workload: str) -> bool:
         """Whether work of the class may be stopped for other work, moved or made again."""
@@ -184,6 +207,11 @@
                 raise SettingsError(f"{origin}: class {name} is given twice")
             classes[name] = rules
             continue
+        if key == "tes":
+            if key in values:
+                raise SettingsError(f"{origin}: tes is given twice")
+            values[key] = _tes(words, origin)
+            continue
         if key in values:
             raise SettingsError(f"{origin}: {key} is given twice")
         values[key] = words if key == "estimators" else forms.one(key, words, origin)
@@ -198,6 +226,34 @@
     return msgspec.structs.replace(tuning, classes=classes)
 
 
+def _tes(words: list[Any], origin: str) -> dict[str, Any]:
+    """The values of `(tes (port 8090) (listen (host-0 "127.0.0.1:1")) (plain yes) ...)`."""
+    where = f"{origin}: tes"
+    values: dict[str, Any] = {}
+    for key, row in forms.table(words, where).items():
+        if key == "listen":
+            values[key] = {
+                name: forms.word(name, value, f"{where}: listen")
+                for name, value in forms.table(row, f"{where}: listen").items()
+            }
+        elif key == "storage":
+            values[key] = row
+        elif key == "plain":
+            values[key] = forms.yes(key, row, where)
+        else:
+            values[key] = forms.one(key, row, where)
+    for text in values.get("listen", {}).values():
+        try:
+            address(text)
+        except ValueError as error:
+            raise SettingsError(f"{where}: listen: {error}") from error
+    if not values.get("port") and not values.get("listen"):
+        raise SettingsError(f"{where}: say where to listen, (port N) or (listen (NAME ADDRESS))")
+    if ("certificate" in values) != ("key" in values):
+        raise SettingsError(f"{where}: certificate and key go together; one is missing")
+    return values
+
+
 def _class(words: list[Any], origin: str) -> tuple[str, ClassRules]:
     if len(words) < 2 or not isinstance(words[0], str):
         raise SettingsError(f"{origin}: a class is (class NAME (repeat no)), not {words}")
--- a/coveflow/state/store.py
+++ b/coveflow/state/store.py
@@ -97,12 +97,7 @@
         first_rev: int | None = None
         after: str | None = None
         while True:
-            status, body = await self.call(
-                "GET", wire.STORE, query=wire.store_query(prefix, after, c.STORE_PAGE)
-            )
-            if status != 200:
-                raise Unavailable(f"list {prefix}: {status}")
-            page, more, rev = wire.read_rows(body)
+            page, more, rev = await self.page(prefix, after, c.STORE_PAGE)
             rows += page
             # Pages are read at different moments; watching from the first one's revision
             # repeats changes instead of missing them.
@@ -111,6 +106,17 @@
                 return rows, first_rev
             after = page[-1][0]
 
+    async def page(
+        self, prefix: str, after: str | None, most: int
+    ) -> tuple[list[tuple[str, Any, int]], bool, int]:
+        """Rows under the prefix after a key, whether there are more, and the revision read at."""
+        status, body = await self.call(
+            "GET", wire.STORE, query=wire.store_query(prefix, after, most)
+        )
+        if status != 200:
+            raise Unavailable(f"list {prefix}: {status}")
+        return wire.read_rows(body)
+
     async def commit(
         self, guards: dict[str, int], writes: dict[str, Any], grant: int | None = None
     ) -> int:
--- a/tests/test_daemon_start.py
+++ b/tests/test_daemon_start.py
@@ -10,7 +10,7 @@
 TOOLS = {
     "click", "rich", "numpy", "pyarrow", "jinja2", "plotly", "hdrh", "hypothesis", "ssl",
     "sexpdata", "coveflow.cli", "coveflow.lab", "coveflow.trace", "coveflow.whatif",
-    "coveflow.client",
+    "coveflow.client", "coveflow.tes", "argon2",
 }  # fmt: skip
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from coveflow import program
 from coveflow import settings as s
-from coveflow.daemon import program
 
 DEPLOY = """
 host_name = "host-0"
