--- a/coveflow/cli/lab.py
+++ b/coveflow/cli/lab.py
@@ -354,17 +354,18 @@
 @click.option("--folder", type=click.Path(path_type=Path), default="lab-run", show_default=True)
 @click.option("--tuning", type=click.Path(path_type=Path, exists=True), help="For controllers.")
 @click.option("--detach", is_flag=True, help="Return when it is up; `lab down` ends it.")
-def up(site: str, folder: Path, tuning: Path | None, detach: bool) -> None:
+@click.option("--tes", is_flag=True, help="Serve the task execution API, with a token a team.")
+def up(site: str, folder: Path, tuning: Path | None, detach: bool, tes: bool) -> None:
     """Start a lab and leave it running; prints its settings file."""
     path = lab_file(site)
     if detach:
-        _detached(path, folder, tuning)
+        _detached(path, folder, tuning, tes)
         return
-    driven(_up(path, folder, tuning))
+    driven(_up(path, folder, tuning, tes))
 
 
-async def _up(path: Path, folder: Path, tuning: Path | None) -> None:
-    cluster = Cluster(path, folder, tuning)
+async def _up(path: Path, folder: Path, tuning: Path | None, tes: bool) -> None:
+    cluster = Cluster(path, folder, tuning, tes="" if tes else None)
     try:
         await cluster.start()
         _where(folder)
@@ -376,12 +377,17 @@
 
 def _where(folder: Path) -> None:
     click.echo(f"settings: {folder / 'host-0.toml'}")
-    click.echo(f"users:    {' '.join(running(folder)['nodes'])}")
+    found = running(folder)
+    click.echo(f"users:    {' '.join(found['nodes'])}")
+    if found.get("tes"):
+        click.echo(f"tasks:    {' '.join(found['tes'])}")
+        for name, token in found["tokens"].items():
+            click.echo(f"token:    {name} {token}")
     click.echo(f"try:      coveflow submit --lab {folder} --class tally")
     click.echo(f"end:      coveflow lab down --folder {folder}")
 
 
-def _detached(path: Path, folder: Path, tuning: Path | None) -> None:
+def _detached(path: Path, folder: Path, tuning: Path | None, tes: bool) -> None:
     folder.mkdir(parents=True, exist_ok=True)
     (folder / "lab.json").unlink(missing_ok=True)
     command = [
@@ -396,6 +402,8 @@
     ]
     if tuning is not None:
         command += ["--tuning", str(tuning)]
+    if tes:
+        command.append("--tes")
     with (folder / "up.log").open("ab") as log:
         process = subprocess.Popen(
             command, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True
--- a/coveflow/lab/cluster.py
+++ b/coveflow/lab/cluster.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import ctypes
 import itertools
 import json
 import os
@@ -21,15 +20,15 @@
 import aiohttp
 import msgspec
 
-from coveflow import wire
+from coveflow import forms, wire
 from coveflow.core.model import Spec
 from coveflow.lab import site as sites
 from coveflow.lab.check import Broken, Checker
+from coveflow.lab.runner import with_its_parent
 
 LOCAL = "127.0.0.1"
 READY_S = 20.0  # s within which all controllers must be healthy
 PORTS = (10_000, 32_000)  # below the range of ports that outgoing connections get
-PR_SET_PDEATHSIG = 1
 clock = time.monotonic
 
 
@@ -37,12 +36,6 @@
     """The lab could not be started or driven; the text says where to look."""
 
 
-def _with_its_parent() -> None:
-    """The kernel ends this process when the one that started it ends, however that happens."""
-    with contextlib.suppress(OSError, AttributeError):
-        ctypes.CDLL(None, use_errno=True).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-
-
 def free_ports(count: int) -> list[int]:
     """Ports of loopback that nobody listens on, below those that the kernel gives to clients.
 
@@ -77,6 +70,8 @@
     folder: Path
     tuning: Path | None = None
     log_level: str = "info"
+    tes: str | None = None  # forms of `(tes ...)` beside addresses and tokens; None: not served
+    tokens: dict[str, str] = field(default_factory=dict)  # by team, and `auditor`
     site: sites.Site = field(init=False)
     nodes: dict[str, dict[str, Any]] = field(default_factory=dict)
     children: dict[str, Child] = field(default_factory=dict)
@@ -94,7 +89,7 @@
         names = [f"host-{i}" for i in range(self.site.controllers)]
         zones = self.site.zones
         pairs = list(itertools.permutations(names, 2))
-        ports = iter(free_ports(2 + 5 * len(names) + len(pairs) + len(zones) * len(names)))
+        ports = iter(free_ports(2 + 6 * len(names) + len(pairs) + len(zones) * len(names)))
         cloud, lab = next(ports), next(ports)
         links: list[tuple[str, int, int]] = []
 
@@ -110,6 +105,7 @@
             self.nodes[name] = {
                 "zone": zones[i % len(zones)], "front": next(ports), "cluster": next(ports),
                 "state": link(f"{name}->state", state), "cloud": link(f"{name}->cloud", cloud),
+                "tes": next(ports),
             }  # fmt: skip
         peers = {
             (a, b): link(f"{a}->{b}", self.nodes[b]["cluster"]) for a, b in pairs
@@ -123,11 +119,35 @@
             shutil.copyfile(self.site_file, self.folder / "lab.scm")
         self.plan |= {
             "links": links, "history": str(history), "site": str(self.folder / "lab.scm"),
+            "tasks": str(self.folder / "tasks"),
         }  # fmt: skip
         (self.folder / "plan.cbor").write_bytes(wire.pack(self.plan))
         for name in names:
             text = self._settings(name, peers)
             (self.folder / f"{name}.toml").write_text(text, encoding="utf-8")
+        if self.tes is not None:
+            self._serve_tasks(self.tes)
+
+    def _serve_tasks(self, more: str) -> None:
+        """Operators' files with the task execution API in them, and a token for each team."""
+        from coveflow.tes import access  # an extra that a lab without the API does not need
+
+        rows = []
+        for name in [team.name for team in self.site.teams]:
+            self.tokens[name], hashed = access.make(name)
+            rights = "(rights submit read cancel)"
+            rows.append(f'(token {name} (team {name}) {rights} (hash "{hashed}"))')
+        self.tokens["auditor"], hashed = access.make("auditor")
+        rows.append(f'(token auditor (rights read-all) (hash "{hashed}"))')
+        (self.folder / "tokens.scm").write_text("(tokens " + "\n".join(rows) + ")\n")
+        listen = " ".join(f'({n} "{LOCAL}:{node["tes"]}")' for n, node in self.nodes.items())
+        items = []
+        if self.tuning is not None:
+            text = self.tuning.read_text(encoding="utf-8")
+            items = [forms.show(item) for item in forms.read(text, str(self.tuning), "coveflow")]
+        items.append(f"(tes (listen {listen}) (tokens tokens.scm) {more})")
+        self.tuning = self.folder / "tuning.scm"
+        self.tuning.write_text("(coveflow " + "\n".join(items) + ")\n", encoding="utf-8")
 
     def _settings(self, name: str, peers: dict[tuple[str, str], int]) -> str:
         node, site = self.nodes[name], self.site
@@ -166,14 +186,17 @@
         for role in ("state", "fleet"):
             await self._launch(role, [sys.executable, "-m", "coveflow.lab.serve", role, plan])
         for name in self.nodes:
-            command = [sys.executable, "-m", "coveflow.daemon"]
+            command = [sys.executable, "-m", "coveflow"]
             if self.tuning is not None:
                 command += ["--tuning", str(self.tuning)]
             command += ["--config", str(self.folder / f"{name}.toml")]
             await self._launch(name, command)
         await self._ready()
         (self.folder / "lab.json").write_text(
-            json.dumps({"nodes": self.fronts(), "lab": self.plan["lab"], "pid": os.getpid()})
+            json.dumps({
+                "nodes": self.fronts(), "lab": self.plan["lab"], "pid": os.getpid(),
+                "tes": self.task_urls(), "tokens": self.tokens,
+            })
         )
 
     async def _launch(self, name: str, command: list[str]) -> None:
@@ -189,7 +212,7 @@
                 stderr=log,
                 stdin=asyncio.subprocess.DEVNULL,
                 env=os.environ | {"LOG_LEVEL": self.log_level},
-                preexec_fn=_with_its_parent,
+                preexec_fn=with_its_parent,
             )
 
     async def _keep(self, child: Child) -> None:
@@ -231,6 +254,12 @@
     def fronts(self) -> list[str]:
         return [f"{LOCAL}:{node['front']}" for node in self.nodes.values()]
 
+    def task_urls(self) -> list[str]:
+        """Where the task execution API is, if it is served."""
+        if self.tes is None:
+            return []
+        return [f"http://{LOCAL}:{node['tes']}" for node in self.nodes.values()]
+
     def signal_node(self, name: str, what: signal.Signals) -> None:
         process = self.children[name].process
         if process is not None and process.returncode is None:
@@ -273,6 +302,9 @@
         if path.exists():
             with path.open(encoding="utf-8") as lines:
                 rows += [json.loads(line) for line in lines if line.endswith("\n")]
+        for row in rows:
+            if isinstance(row.get("spec"), dict):
+                row["spec"] = msgspec.convert(row["spec"], Spec)
         return sorted(rows, key=lambda row: row["at"])
 
     def check(self, rows: list[dict[str, Any]]) -> list[Broken]:
--- a/coveflow/lab/serve.py
+++ b/coveflow/lab/serve.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import random
+import shutil
 import sys
 import time
 from collections.abc import Awaitable, Callable
@@ -22,20 +23,25 @@
 from aiohttp import web
 
 from coveflow import wire
-from coveflow.core.model import Spec
+from coveflow.core.model import Order, Spec
 from coveflow.lab import site as sites
 from coveflow.lab.cloud import Cloud, Host
 from coveflow.lab.links import Link
+from coveflow.lab.runner import DEFAULT_IMAGES as IMAGES
+from coveflow.lab.runner import Run
 from coveflow.lab.store import Failed, Malformed, Rate, Store, TooOld
 from coveflow.lab.truth import INF, Truth
-from coveflow.lab.worker import Attempt, Worker
+from coveflow.lab.worker import Attempt, Key, Worker
 from coveflow.lab.workload import run_times
+from coveflow.tes import models as tm
 from coveflow.wire import far
+from coveflow.wire import runner as wr
 
 LOCAL = "127.0.0.1"
 ANSWER_S = 4.0  # s a worker waits for an answer; the protocol's own number
 NEXT_S = 1.0  # s until it tries the next node
 CHANGE_S = 0.5  # s between two reports that changes bring forward
+TELL_S = 0.5  # s between tries to tell how a task ended
 LIST_BYTES = 512 * 1024  # bytes of one answer to a listing
 
 clock = time.monotonic  # one clock for all processes of this machine
@@ -220,6 +226,8 @@
         self.links: dict[str, Link] = {}
         self.history = open(plan["history"], "a", encoding="utf-8")  # noqa: SIM115
         self.session: aiohttp.ClientSession | None = None
+        self.runs: dict[tuple[str, Key], Run] = {}
+        self.at: dict[str, str] = {}  # the node that each machine reports to
         self.cloud.on_rent = self._rented
         self.cloud.on_gone = self._gone
 
@@ -232,6 +240,56 @@
             "zone": worker.zone, "spot": worker.spot, "why": attempt.why,
         }  # fmt: skip
         self.history.write(json.dumps(row) + "\n")
+        if attempt.job in self.truth.documents:
+            if kind == "running":
+                self._spawn(self._run_document(worker, attempt.key))
+            elif kind == "off":
+                self._end_run(worker.name, attempt.key)
+
+    # --- tasks that are real processes -----------------------------------------------------
+
+    async def _learn(self, worker: Worker, node: str, orders: list[Order]) -> None:
+        """Fetch the documents of jobs that nobody uploaded here: they are the task API's."""
+        for job in {o.job for o in orders if o.verb == "run"} - set(self.truth.specs):
+            status, body = await self._ask(worker.zone, node, "GET", wr.TASK + job, None)
+            if status != 200:
+                continue
+            spec, document = wr.read_task(body)
+            if job not in self.truth.specs:
+                self.truth.documents[job] = document
+                self.truth.upload(msgspec.convert(spec, Spec))
+                row = {"at": clock(), "kind": "submit", "job": job, "spec": spec}
+                self.history.write(json.dumps(row) + "\n")
+
+    def _end_run(self, machine: str, key: Key) -> None:
+        run = self.runs.pop((machine, key), None)
+        if run is not None:
+            run.kill()
+
+    async def _run_document(self, worker: Worker, key: Key) -> None:
+        """Run an attempt; its word is kept by a controller before the machine reports its end."""
+        job, task, number = key
+        folder = Path(self.plan["tasks"]) / f"{job}-{task}-{number}-{worker.name}"
+        document = tm.read_document(self.truth.documents[job])
+        size = self.truth.specs[job].tasks
+        run = self.runs[worker.name, key] = Run(job, task, document, folder, IMAGES, size)
+        try:
+            told = await run.go()
+            while (worker.name, key) in self.runs:
+                node = self.at.get(worker.name, self.plan["nodes"][0])
+                status, _ = await self._ask(
+                    worker.zone, node, "POST", wr.TOLD, wr.told_body(told)
+                )
+                if status == 200:
+                    worker.finish(key, clock())
+                    self.poke_changed()
+                if status in (200, 400, 410):
+                    break  # 410: it was cancelled, and a stop is on its way
+                await asyncio.sleep(TELL_S)
+        finally:
+            if run.killed or (worker.name, key) not in self.runs:
+                run.kill()
+            await asyncio.to_thread(shutil.rmtree, folder, True)
 
     # --- machines ----------------------------------------------------------------------
 
@@ -322,6 +380,9 @@
                     epoch, _, orders = far.read_orders(body)
                 except wire.Malformed:
                     epoch, orders = None, []
+                await self._learn(worker, node, orders)
+                now = clock()
+                self.at[worker.name] = node
                 worker.answered(report.tenure, sent, epoch, orders, now)
                 self.poke_changed()
                 wait = None
@@ -364,11 +425,18 @@
             self._gangs(clock())
 
     async def _post(self, zone: str, node: str, body: bytes) -> tuple[int, bytes]:
+        return await self._ask(zone, node, "POST", wire.BEAT, body)
+
+    async def _ask(
+        self, zone: str, node: str, method: str, path: str, body: bytes | None
+    ) -> tuple[int, bytes]:
+        """Status (0: none) and body, over the zone's link to the node."""
         assert self.session is not None
         link = self.links[f"{zone}->{node}"]
         try:
-            async with self.session.post(
-                f"http://{LOCAL}:{link.port}{wire.BEAT}",
+            async with self.session.request(
+                method,
+                f"http://{LOCAL}:{link.port}{path}",
                 data=body,
                 timeout=aiohttp.ClientTimeout(total=ANSWER_S),
                 allow_redirects=False,
--- a/coveflow/lab/truth.py
+++ b/coveflow/lab/truth.py
@@ -35,6 +35,8 @@
         self.gangs: dict[tuple[str, int], Gang] = {}
         # Machines whose tasks changed by themselves; in order, as a set of objects has none.
         self.touched: dict[Worker, None] = {}
+        # Jobs whose tasks are real processes: their documents. How long they run nobody knows.
+        self.documents: dict[str, bytes] = {}
         self.broken: set[str] = set()  # jobs submitted with a mistake: they fail everywhere
 
     def upload(self, spec: Spec) -> None:
@@ -43,6 +45,8 @@
             self.specs[spec.id] = spec
 
     def length(self, job: str, task: int) -> float:
+        if job in self.documents:
+            return INF
         lengths = self.lengths.get(job)
         if lengths is None:
             lengths = self.lengths[job] = self.draw(self.specs[job])
@@ -104,6 +108,14 @@
     stop_at: float = INF  # the first stop that saves
     frozen: float = 0.0  # progress at that stop
     over: bool = False
+    finished: set[int] = field(default_factory=set)  # tasks whose processes ended by themselves
+
+    def finish(self, task: int, now: float) -> None:
+        """A task's process ended; the gang completes with its last one."""
+        self.finished.add(task)
+        if len(self.finished) == self.spec.tasks:
+            self.ends = now
+            self.advance(now)
 
     def join(self, worker: Worker, attempt: Attempt, now: float) -> None:
         """The task has its image and waits for the others."""
@@ -114,7 +126,7 @@
         self.began = now
         self.slow = max(w.slow for w, _ in self.members.values())
         left = self.truth.left(self.spec.id, 0)
-        self.base = self.truth.length(self.spec.id, 0) - left
+        self.base = 0.0 if left == INF else self.truth.length(self.spec.id, 0) - left
         self.ends = now + left * self.slow
         for w, a in self.members.values():
             w.starts(a, now)
--- a/coveflow/lab/worker.py
+++ b/coveflow/lab/worker.py
@@ -173,6 +173,17 @@
             attempt.kept = True
             self.exits(attempt, "halted", now)
 
+    def finish(self, key: Key, now: float) -> None:
+        """The task's process ended by itself, and its word is kept: it is done."""
+        attempt = self.tasks.get(key)
+        if attempt is None or attempt.state not in ("running", "flushing"):
+            return
+        if self.truth.specs[attempt.job].kind == "gang":
+            self.truth.gang(attempt.job, attempt.number).finish(attempt.task, now)
+            return
+        self.truth.done.add((attempt.job, attempt.task))
+        self.exits(attempt, "done", now)
+
     def exits(self, attempt: Attempt, why: str, now: float) -> None:
         attempt.state, attempt.why, attempt.ends = "exited", why, INF
         self._touch()
