--- a/coveflow/tes/models.py
+++ b/coveflow/tes/models.py
@@ -251,6 +251,14 @@
             raise Refused(f"{where}.env: {name!r} is no name of a variable, or its value has a NUL")
 
 
+def normal(path: str) -> str:
+    """The shortest form of an absolute path.
+
+    POSIX lets two slashes at the beginning stand, and the walk from there upwards never met "/".
+    """
+    return "/" + posixpath.normpath(path).lstrip("/")
+
+
 def _path(where: str, path: str) -> None:
     """Paths are absolute and stay inside the task's own directory."""
     if not path.startswith("/"):
@@ -259,7 +267,7 @@
         raise Refused(f"{where} holds a NUL character")
     if ".." in path.split("/"):
         raise Refused(f"{where} holds '..', which could lead out of the task's directory")
-    if posixpath.normpath(path) in ("/", "//"):
+    if normal(path) == "/":
         raise Refused(f"{where} must name something below /")
 
 
@@ -282,12 +290,12 @@
     """Two inputs at one place, or an input inside one that is a file, cannot both be laid out."""
     files: dict[str, int] = {}
     for i, item in enumerate(task.inputs or ()):
-        path = posixpath.normpath(item.path)
+        path = normal(item.path)
         if path in files:
             raise Refused(f"inputs[{i}].path is also that of inputs[{files[path]}]")
         files[path] = i
     for i, item in enumerate(task.inputs or ()):
-        above = posixpath.dirname(posixpath.normpath(item.path))
+        above = posixpath.dirname(normal(item.path))
         while above != "/":
             other = files.get(above)
             if other is not None and (task.inputs or [])[other].type == FileType.FILE:
--- /dev/null
+++ b/tests/tes_nodes.py
@@ -0,0 +1,173 @@
+"""Controllers' halves of the task API in one process, over the lab's model of the state service.
+
+Answers of the store can be lost after it applied the request (`lose`), refused (`down`), or a step of
+another node can be put between a look and a commit (`between`).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+
+import msgspec
+
+from coveflow import settings as s
+from coveflow.daemon import commands as cm
+from coveflow.daemon import owner as o
+from coveflow.daemon.front import Front
+from coveflow.daemon.peers import Peers
+from coveflow.lab.store import Failed
+from coveflow.lab.store import Store as Model
+from coveflow.net.http import Bucket, Unavailable, Unsure
+from coveflow.state.store import Conflict
+from coveflow.tes.access import Client
+from coveflow.tes.collector import Collector
+from coveflow.tes.ledger import Ledger
+from coveflow.tes.service import Service
+from tests.samples import flavor
+from tests.world import node_settings
+
+TXN_OPS = 12
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 1_000_000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class Keys:
+    """A node's client of the model, as `state.store.Store` is of the service."""
+
+    def __init__(self, model: Model, clock: Clock) -> None:
+        self.model, self.clock = model, clock
+        self.requests, self.changes = Bucket(1e6, clock), Bucket(1e6, clock)
+        self.down = False
+        self.lose = 0  # commits whose answers are lost
+        self.between = lambda guards, writes: None
+        self.contact = clock()
+
+    async def get(self, key):
+        await self._asked()
+        row = self.model.get(key)
+        return (None, 0) if row is None else (copy.deepcopy(row.value), row.rev)
+
+    async def page(self, prefix, after, most):
+        await self._asked()
+        rows, more = self.model.list(prefix, after or "", most)
+        return [(k, copy.deepcopy(r.value), r.rev) for k, r in rows], more, self.model.rev
+
+    async def commit(self, guards, writes):
+        await self._asked()
+        self.between(guards, writes)
+        try:
+            rev = self.model.commit(
+                guards, {k: (copy.deepcopy(v), None) for k, v in writes.items()}, self.clock()
+            )
+        except Failed as failed:
+            raise Conflict(failed.keys) from None
+        if writes and self.lose:
+            self.lose -= 1
+            raise Unsure("no answer")
+        return rev
+
+    async def sure_commit(self, guards, writes, deadline=None):
+        assert set(writes) <= set(guards)
+        return await self.commit(guards, writes)
+
+    async def _asked(self):
+        await asyncio.sleep(0)
+        if self.down:
+            raise Unavailable("down")
+
+
+class Node:
+    """One controller's owner, front, ledger, service and collector."""
+
+    def __init__(self, name: str, model: Model, clock: Clock, **tes) -> None:
+        settings = node_settings(name, [{"name": "blue", "cpus_max": 64.0}, {"name": "green"}])
+        members = [s.Member(other, "north", "127.0.0.1:9") for other in ("a", "b") if other != name]
+        settings = msgspec.structs.replace(settings, members=members)
+        self.tes = s.Tes(**({"port": 1, "part": 1.0} | tes))
+        self.store = Keys(model, clock)
+        self.owner = o.Owner(settings, s.Tuning(), clock, clock)
+        self.owner.inbox.flavors["m8"] = flavor()
+        peers = Peers(settings, None, clock, dict, None)
+        self.front = Front(settings, self.owner, self.store, peers, clock, clock, None)
+        self.ledger = Ledger(settings, self.tes, self.store, clock, clock)
+        self.service = Service(
+            settings, self.tes, self.owner, self.store, self.front, self.ledger, clock, clock
+        )
+        self.collector = Collector(
+            self.ledger, self.store, self.owner, TXN_OPS, self.tes.retention_h * 3600.0, clock
+        )
+        self.seen = 0
+
+    async def read(self) -> None:
+        """Begin cold, as the ledger's loop does."""
+        self.seen = await self.ledger._load()
+        self.follow()
+
+    def follow(self) -> None:
+        """What both watches would tell by now."""
+        model = self.store.model
+        rows = [e for e in model.events("", self.seen) if e[0].startswith(("ti/", "in/"))]
+        self.ledger.apply([e for e in rows if e[0].startswith("ti/")])
+        self.owner.work([cm.InboxRows([e for e in rows if e[0].startswith("in/")])])
+        self.seen = model.rev
+        self.drain()
+
+    def drain(self) -> None:
+        """Work through what was put into the owner's queue."""
+        while not self.owner.queue.empty():
+            self.owner.work([self.owner.queue.get_nowait()])
+
+    def lead(self) -> None:
+        """Write a view with this node as leader, as membership does."""
+        row = self.store.model.get(cm.VIEW)
+        epoch = (row.value["epoch"] if row else 0) + 1
+        value = {"epoch": epoch, "leader": self.front.settings.name, "members": ["a", "b"]}
+        rev = self.store.model.commit({}, {cm.VIEW: (value, None)}, 0.0)
+        self.owner.work([cm.InboxRows([(cm.VIEW, value, rev)])])
+        rows = [(k, r.value, r.rev) for k, r in self.store.model.list(cm.STATE, "", 10**6)[0]]
+        self.owner.work([cm.Lead(epoch, rev, rows)])
+        assert self.owner.leading
+
+    def over(self, task: str, status: str = "done", **more) -> None:
+        """The leader's final record of a job, with its news, as `Commits` writes it."""
+        model = self.store.model
+        row = model.get(cm.JOB + task)
+        record = {
+            "status": status, "done": 1, "rider": row.value["rider"],
+            "outcome": row.value.get("outcome") or {}, **more,
+        }  # fmt: skip
+        news = self.ledger.finals(f"1-{model.rev}", {task: record})
+        writes = {cm.OLD + task: record, cm.JOB + task: None} | news
+        model.commit(
+            {cm.JOB + task: row.rev}, {k: (v, None) for k, v in writes.items()}, 0.0
+        )
+
+
+BLUE = Client("blue", "blue", frozenset({"submit", "read", "cancel"}))
+GREEN = Client("green", "green", frozenset({"submit", "read", "cancel"}))
+AUDITOR = Client("auditor", "", frozenset({"read-all"}))
+
+
+def nodes(value_kb: float = 8.0, **tes) -> tuple[Node, Node, Clock]:
+    clock = Clock()
+    model = Model(1e9, 1e9, value_kb, TXN_OPS)
+    return Node("a", model, clock, **tes), Node("b", model, clock, **tes), clock
+
+
+def body(**fields) -> bytes:
+    return msgspec.json.encode(
+        {"executors": [{"image": "alpine", "command": ["/bin/true"]}]} | fields
+    )
+
+
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, 30.0))
+
+
