--- a/coveflow/lab/cluster.py
+++ b/coveflow/lab/cluster.py
@@ -71,6 +71,7 @@
     tuning: Path | None = None
     log_level: str = "info"
     tes: str | None = None  # forms of `(tes ...)` beside addresses and tokens; None: not served
+    filled: int = 0  # tasks of that API that are over when the lab begins
     tokens: dict[str, str] = field(default_factory=dict)  # by team, and `auditor`
     site: sites.Site = field(init=False)
     nodes: dict[str, dict[str, Any]] = field(default_factory=dict)
@@ -119,7 +120,7 @@
             shutil.copyfile(self.site_file, self.folder / "lab.scm")
         self.plan |= {
             "links": links, "history": str(history), "site": str(self.folder / "lab.scm"),
-            "tasks": str(self.folder / "tasks"),
+            "tasks": str(self.folder / "tasks"), "filled": self.filled,
         }  # fmt: skip
         (self.folder / "plan.cbor").write_bytes(wire.pack(self.plan))
         for name in names:
--- /dev/null
+++ b/coveflow/lab/filled.py
@@ -0,0 +1,68 @@
+"""A state service as months of the task API leave it: pages, final records and a few documents."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from coveflow.daemon import commands as cm
+from coveflow.lab.store import Row, Store
+from coveflow.state import records
+from coveflow.tes import documents, ledger, models
+from coveflow.tes import index as ix
+
+DOCUMENTS = 50  # that all tasks share
+MADE_MS = 1_700_000_000_000  # when the first was made; the others follow at 50 ms
+EVERY_MS = 50
+STATES = ("COMPLETE",) * 17 + ("EXECUTOR_ERROR", "CANCELED", "SYSTEM_ERROR")
+
+
+def fill(store: Store, tasks: int, nodes: list[str], seed: int = 1) -> None:
+    """Write them as the service would have; the revision counts one for each page."""
+    rng = random.Random(seed)
+    names = []
+    for i in range(DOCUMENTS):
+        executor = models.Executor("outline", ["/usr/bin/outline", f"/tiles/{i}"])
+        task = models.Task([executor])
+        cut = documents.cut(models.document_of(task), store.value_kb, 1)
+        store.rows[cut.key(0)] = Row(cut.root(), 1)
+        names.append(cut.hash)
+    pages = {node: ([], 0, 0) for node in nodes}  # rows, bytes, number
+    room = int(store.value_kb * 1024 * ledger.PAGE_PART)
+    for i in range(tasks):
+        node = nodes[i % len(nodes)]
+        state = rng.choice(STATES)
+        made = MADE_MS + i * EVERY_MS
+        entry = ix.Entry(
+            f"j-{rng.randrange(10**24):024d}", made, f"tile-{i:06d}", "mapping",
+            names[i % DOCUMENTS], {"row": str(i % 100)}, state, made + 30_000,
+        )  # fmt: skip
+        rider = {
+            "doc": entry.doc, "name": entry.name, "tags": entry.tags, "team": entry.team,
+            "made": made, "by": "mapping",
+        }  # fmt: skip
+        record = {
+            "status": "cancelled" if state in ("CANCELED", "SYSTEM_ERROR") else "done",
+            "done": 1, "rider": rider,
+            "outcome": {"0": [1, ""]} if state == "EXECUTOR_ERROR" else {},
+        }  # fmt: skip
+        if state == "SYSTEM_ERROR":
+            record["failed"] = "lost"
+        rows, size, number = pages[node]
+        row = ix.rows_of([entry])
+        size += records.size_of("", row)
+        if size > room:
+            _page(store, node, number, rows)
+            rows, size, number = [], records.size_of("", row), number + 1
+        rows += row
+        pages[node] = (rows, size, number)
+        store.rows[cm.OLD + entry.id] = Row(msgspec.to_builtins(record), store.rev)
+    for node, (rows, _, number) in pages.items():
+        _page(store, node, number, rows)
+
+
+def _page(store: Store, node: str, number: int, rows: list) -> None:
+    store.rev += 1
+    store.dropped = store.rev
+    store.rows[ledger.page_key(node, number)] = Row({"rows": rows}, store.rev)
--- a/coveflow/lab/serve.py
+++ b/coveflow/lab/serve.py
@@ -72,6 +72,12 @@
         self.late_until, self.late_s = 0.0, 0.0
         self.changed = asyncio.Event()
 
+    def fill(self, tasks: int, nodes: list[str]) -> None:
+        """Begin with so many tasks of the task API that are over, as a long service leaves them."""
+        from coveflow.lab.filled import fill
+
+        fill(self.store, tasks, nodes)
+
     def handler(self, who: str) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             if request.path == "/lab/fault" and request.method == "POST":
@@ -587,6 +593,8 @@
     kept = []
     if role == "state":
         state = StateServer(site)
+        if plan.get("filled"):
+            state.fill(plan["filled"], plan["nodes"])
         for who, port in plan["state"].items():
             kept.append(await listen(state.handler(who), port))
         await state.run()
--- a/coveflow/lab/store.py
+++ b/coveflow/lab/store.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import msgspec
+from sortedcontainers import SortedDict
 
 KEPT = 10_000  # changes that can be watched from; the protocol's own number
 TXN_KB = 64  # KiB of a transaction, by its JSON form
@@ -64,7 +65,8 @@
     ) -> None:
         self.requests, self.changes = Rate(rps), Rate(write_rps)
         self.value_kb, self.txn_ops = value_kb, txn_ops
-        self.rows: dict[str, Row] = {}
+        # Sorted, as listings are in key order and a whole sort for each page took seconds at 400,000.
+        self.rows: SortedDict[str, Row] = SortedDict()
         self.rev = 0
         self.log: deque[tuple[str, Any, int]] = deque(maxlen=kept)  # key, value or None, revision
         self.dropped = 0  # newest revision that the log no longer has
@@ -76,8 +78,16 @@
         return self.rows.get(key)
 
     def list(self, prefix: str, after: str, most: int) -> tuple[list[tuple[str, Row]], bool]:
-        keys = sorted(k for k in self.rows if k.startswith(prefix) and k > after)
-        return [(k, self.rows[k]) for k in keys[:most]], len(keys) > most
+        """Rows in key order under the prefix, after a key; whether there are more."""
+        found: list[tuple[str, Row]] = []
+        low, inclusive = (after, False) if after >= prefix else (prefix, True)
+        for key in self.rows.irange(low, inclusive=(inclusive, True)):
+            if not key.startswith(prefix):
+                break
+            if len(found) == most:
+                return found, True
+            found.append((key, self.rows[key]))
+        return found, False
 
     def commit(
         self, guards: dict[str, int], writes: dict[str, tuple[Any, int | None]], now: float
--- a/tests/tes_nodes.py
+++ b/tests/tes_nodes.py
@@ -1,7 +1,7 @@
 """Controllers' halves of the task API in one process, over the lab's model of the state service.
 
-Answers of the store can be lost after it applied the request (`lose`), refused (`down`), or a step of
-another node can be put between a look and a commit (`between`).
+Answers of the store can be lost after it applied the request (`lose`), refused (`down`), or a step
+of another node can be put between a look and a commit (`between`).
 """
 
 from __future__ import annotations
--- a/tests/test_tes_service.py
+++ b/tests/test_tes_service.py
@@ -300,6 +300,24 @@
     run(go())
 
 
+def test_a_listing_knows_that_another_node_began_a_page_it_has_not_heard_of():
+    async def go():
+        a, b, _ = await both()
+        while not a.ledger.heads["a"]:
+            b.follow()  # it has the first page whole; the second it will not hear of
+            task = await a.service.submit(BLUE, body(tags={"k": "v" * 1500}), None)
+            a.drain()
+        with pytest.raises(Unavailable, match="not current"):
+            clock = b.ledger.clock
+            ticks = iter(range(1000))
+            b.ledger.clock = lambda: clock() + 0.1 * next(ticks)
+            await b.service.list(BLUE, Query())
+        b.ledger.clock = clock
+        assert task in {t["id"] for t in await listed(b)}
+
+    run(go())
+
+
 def test_filters():
     async def go():
         a, _, _ = await both()
