--- a/coveflow/cli/lab.py
+++ b/coveflow/cli/lab.py
@@ -425,6 +425,23 @@
             ))  # fmt: skip
 
 
+@lab.command("task-flood")
+@click.argument("site", default="demo")
+@click.option("--for", "for_s", default=30.0, show_default=True)
+@click.option("--per-s", default=60.0, show_default=True, help="Tasks a second in the flood.")
+@click.option("--folder", type=click.Path(path_type=Path))
+def task_flood(site: str, for_s: float, per_s: float, folder: Path | None) -> None:
+    """Native submissions' latencies without and with a flood of tasks; one JSON object each."""
+    from coveflow.lab import tasks
+
+    with contextlib.ExitStack() as stack:
+        if folder is None:
+            folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="coveflow-")))
+        for rate in (0.0, per_s):
+            where = folder / f"flood-{rate:g}"
+            click.echo(json.dumps(driven(tasks.flood(lab_file(site), where, for_s, rate))))
+
+
 # --- a lab that stays ------------------------------------------------------------------
 
 
--- a/coveflow/lab/tasks.py
+++ b/coveflow/lab/tasks.py
@@ -19,7 +19,9 @@
 
 from coveflow.client import GaveUp, Refused
 from coveflow.lab import faults as fl
+from coveflow.lab import workload
 from coveflow.lab.cluster import Cluster, LabError
+from coveflow.lab.evening import Evening
 from coveflow.taskclient import FINAL, TaskClient
 
 SPAN_S = 7.0  # s in which tasks are submitted and faults begin
@@ -111,10 +113,11 @@
                 if isinstance(error, Exception):
                     raise error
             await self._last(client)
+            await asyncio.sleep(0.3)  # the workers' last rows
+            await self.cluster.ask(session, "/lab/state")  # writes them out
         for state, _ in self.final.values():
             self.found.ends[state] = self.found.ends.get(state, 0) + 1
         self.found.tasks = len(self.known)
-        await asyncio.sleep(0.3)  # the workers' last rows
         broken = self.cluster.check(self.cluster.history([]))
         self.found.wrong += [f"{b.rule}: {b.text}" for b in broken]
         return self.found
@@ -252,6 +255,27 @@
         await cluster.stop()
 
 
+async def flood(site: Path, folder: Path, for_s: float, per_s: float) -> dict[str, Any]:
+    """Native submissions' latencies with so many tasks a second beside them; 0: without any."""
+    cluster = Cluster(site, folder, None, tes="")
+    jobs = workload.draw(cluster.site, for_s)
+    evening = Evening(cluster, jobs)
+    try:
+        await cluster.start()
+        async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+            client = TaskClient(session, cluster.task_urls(), cluster.tokens[TEAM])
+            playing = asyncio.create_task(evening.run(3 * for_s))
+            tasks = await _load(client, [], for_s, {"submit": per_s})
+            await playing
+            await asyncio.sleep(0.3)  # the workers' last rows
+            await cluster.ask(session, "/lab/state")  # writes them out
+    finally:
+        await cluster.stop()
+    wrong = [f"{b.rule}: {b.text}" for b in evening.broken()]
+    return {"native_ms": evening.latencies_ms(), "jobs": len(jobs), "tasks": tasks["submit"],
+            "wrong": wrong}  # fmt: skip
+
+
 def _quick(name: str) -> dict[str, Any]:
     return {"name": name, "executors": [{"image": "any", "command": ["true"]}]}
 
