--- a/tests/test_tes_service.py
+++ b/tests/test_tes_service.py
@@ -85,6 +85,29 @@
     run(go())
 
 
+def test_a_node_that_begins_meanwhile_makes_the_same_id_of_a_key():
+    """Its index came while it looked the key up: its id had been made without the secret."""
+
+    async def go():
+        a, b, _ = nodes()
+        await a.read()
+        first = await a.service.submit(BLUE, body(), "k")
+        look = b.front.look
+
+        async def looked(name):
+            await b.read()
+            return await look(name)
+
+        b.front.look = looked
+        with pytest.raises(Unavailable):
+            await b.service.submit(BLUE, body(), "k")
+        await b.read()
+        assert await b.service.submit(BLUE, body(), "k") == first
+        assert len(keys(a, cm.JOB)) == 1
+
+    run(go())
+
+
 def test_without_a_key_a_lost_answer_may_leave_a_task_and_pages_stay_whole():
     async def go():
         a, _, _ = await both()
