--- a/coveflow/tes/service.py
+++ b/coveflow/tes/service.py
@@ -117,8 +117,9 @@
         if key is not None and not (0 < len(key) <= KEY_BYTES and key.isprintable()):
             raise Refused(f"Idempotency-Key must be 1 to {KEY_BYTES} printable characters")
         if not self.ledger.ready:
-            # Ids follow from a secret of the index. A node that had just begun once made one without
-            # it and accepted the task when the index was there: a second task for a known key.
+            # Ids follow from a secret of the index. A node that had just begun once made one
+            # without it and accepted the task when the index was there: a second task for a known
+            # key.
             raise Unavailable("the index is being read")
         made_ms = int(self.wall() * 1000)
         name = self._id(client.team, key)
