Listings' index: arrays of keys and rows beside each other

Need: a controller that knows 200,000 tasks took 150 MB, over the 146 MB of the smallest deployment. A dictionary from keys to rows is gone; each bucket has the rows beside its keys, and ties need no special case.

--- a/coveflow/tes/index.py
+++ b/coveflow/tes/index.py
@@ -10,7 +10,7 @@
 
 import heapq
 from array import array
-from bisect import bisect_left
+from bisect import bisect_left, bisect_right
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
@@ -52,21 +52,53 @@
     after: int | None  # key to go on from; None: nothing is left
 
 
+class Bucket:
+    """Tasks of one team in one state: keys in order, and the row of each beside it."""
+
+    __slots__ = ("keys", "rows")
+
+    def __init__(self) -> None:
+        self.keys: array[int] = array("Q")
+        self.rows: array[int] = array("I")
+
+    def put(self, key: int, row: int) -> None:
+        """Most come with the highest key; those of one key go by their rows."""
+        at = len(self.keys)
+        if at and key <= self.keys[-1]:
+            at = bisect_right(self.keys, key)
+        self.keys.insert(at, key)
+        self.rows.insert(at, row)
+
+    def take(self, key: int, row: int) -> None:
+        for at in range(bisect_left(self.keys, key), bisect_right(self.keys, key)):
+            if self.rows[at] == row:
+                self.keys.pop(at)
+                self.rows.pop(at)
+                return
+
+    def down(self, after: int | None) -> Iterator[tuple[int, int]]:
+        """Keys and rows from the newest one below `after`."""
+        at = len(self.keys) if after is None else bisect_left(self.keys, after)
+        for i in range(at - 1, -1, -1):
+            yield self.keys[i], self.rows[i]
+
+
 class Index:
     def __init__(self) -> None:
         self.rows: list[bytes | None] = []
         self.ids: dict[int, int] = {}  # number of the id to row
-        self.keys: dict[int, int | tuple[int, ...]] = {}  # key to row, or rows
-        self.buckets: dict[tuple[str, str], array[int]] = {}
+        self.buckets: dict[tuple[str, str], Bucket] = {}
         self.early: dict[str, tuple[str, int]] = {}  # ends heard of before their tasks
 
     def __len__(self) -> int:
         return len(self.ids)
 
+    def _entry(self, row: int) -> Entry:
+        return Entry(*_unpack(self.rows[row] or b""))
+
     def get(self, task: str) -> Entry | None:
         row = self.ids.get(number_of(task))
-        packed = None if row is None else self.rows[row]
-        return None if packed is None else Entry(*_unpack(packed))
+        return None if row is None else self._entry(row)
 
     # --- changes -----------------------------------------------------------------------
 
@@ -82,36 +114,16 @@
         row = len(self.rows)
         self.rows.append(_pack(entry))
         self.ids[number_of(entry.id)] = row
-        self._hang(entry.key, row)
-        self._into(entry.team, entry.state, entry.key)
-
-    def _hang(self, key: int, row: int) -> None:
-        known = self.keys.get(key)
-        if known is None:
-            self.keys[key] = row
-        else:
-            # Two tasks of one millisecond and the same low bits: they are listed together.
-            self.keys[key] = (*(known if isinstance(known, tuple) else (known,)), row)
-
-    def _into(self, team: str, state: str, key: int) -> None:
-        bucket = self.buckets.setdefault((team, state), array("Q"))
-        if not bucket or key > bucket[-1]:
-            bucket.append(key)
-        else:
-            at = bisect_left(bucket, key)
-            if bucket[at] != key:
-                bucket.insert(at, key)
-
-    def _out_of(self, team: str, state: str, key: int) -> None:
-        """Take the key out, unless another task of the same key stays in the bucket."""
-        if any(e.team == team and e.state == state for e in self._of(key)):
-            return
-        bucket = self.buckets[team, state]
-        at = bisect_left(bucket, key)
-        if at < len(bucket) and bucket[at] == key:
-            bucket.pop(at)
-        if not bucket:
-            del self.buckets[team, state]
+        self._into(entry, row)
+
+    def _into(self, entry: Entry, row: int) -> None:
+        self.buckets.setdefault((entry.team, entry.state), Bucket()).put(entry.key, row)
+
+    def _out_of(self, entry: Entry, row: int) -> None:
+        bucket = self.buckets[entry.team, entry.state]
+        bucket.take(entry.key, row)
+        if not bucket.keys:
+            del self.buckets[entry.team, entry.state]
 
     def end(self, task: str, state: str, ended_ms: int) -> None:
         """The task is over. The first word counts: a final state never changes."""
@@ -119,12 +131,13 @@
         if row is None:
             self.early[task] = (state, ended_ms)
             return
-        entry = Entry(*_unpack(self.rows[row] or b""))
+        entry = self._entry(row)
         if entry.state:
             return
-        self.rows[row] = _pack(entry._replace(state=state, ended_ms=ended_ms))
-        self._out_of(entry.team, LIVE, entry.key)
-        self._into(entry.team, state, entry.key)
+        self._out_of(entry, row)
+        entry = entry._replace(state=state, ended_ms=ended_ms)
+        self.rows[row] = _pack(entry)
+        self._into(entry, row)
 
     def remove(self, task: str) -> Entry | None:
         """The task's time is over; what was known of it."""
@@ -132,15 +145,9 @@
         self.early.pop(task, None)
         if row is None:
             return None
-        entry = Entry(*_unpack(self.rows[row] or b""))
+        entry = self._entry(row)
+        self._out_of(entry, row)
         self.rows[row] = None
-        known = self.keys[entry.key]
-        if isinstance(known, tuple):
-            left = tuple(r for r in known if r != row)
-            self.keys[entry.key] = left if len(left) > 1 else left[0]
-        else:
-            del self.keys[entry.key]
-        self._out_of(entry.team, entry.state, entry.key)
         if len(self.rows) > 1024 and len(self.ids) * 2 < len(self.rows):
             self._compact()
         return entry
@@ -148,23 +155,14 @@
     def _compact(self) -> None:
         """Half of the rows are gone: number the rest anew."""
         kept = [packed for packed in self.rows if packed is not None]
-        self.rows, self.ids, self.keys = list(kept), {}, {}
-        for row, packed in enumerate(kept):
-            entry = Entry(*_unpack(packed))
+        self.rows, self.ids, self.buckets = kept, {}, {}
+        for row in range(len(kept)):
+            entry = self._entry(row)
             self.ids[number_of(entry.id)] = row
-            self._hang(entry.key, row)
+            self._into(entry, row)
 
     # --- listings ----------------------------------------------------------------------
 
-    def _of(self, key: int) -> Iterator[Entry]:
-        known = self.keys.get(key)
-        if known is None:
-            return
-        for row in known if isinstance(known, tuple) else (known,):
-            packed = self.rows[row]
-            if packed is not None:
-                yield Entry(*_unpack(packed))
-
     def list(
         self,
         team: str | None,
@@ -177,34 +175,28 @@
         """The next tasks, newest first: at most `most`, after a look at `look` of them at most.
 
         `team` None: of all teams. `states` are buckets (final states and LIVE). A page may hold
-        less than there is, even nothing, and then says where to go on.
+        less than there is, even nothing, and then says where to go on. Tasks of one key are never
+        on two pages, so a page may hold a few more.
         """
         chosen = [
-            _down(bucket, after)
+            bucket.down(after)
             for (of, state), bucket in self.buckets.items()
             if (team is None or of == team) and state in states
         ]
         entries: list[Entry] = []
-        looked, last = 0, None
-        for key in heapq.merge(*chosen, reverse=True):
-            if key == last:
-                continue  # tasks of one key in two buckets: both were listed at the first
-            if len(entries) >= most or looked >= look:
+        last = None
+        for looked, (key, row) in enumerate(heapq.merge(*chosen, reverse=True)):
+            if key != last and (len(entries) >= most or looked >= look):
                 return Page(entries, last)
             last = key
-            looked += 1
-            for entry in self._of(key):
-                if (team is None or entry.team == team) and entry.state in states and wanted(entry):
-                    entries.append(entry)
+            entry = self._entry(row)
+            if wanted(entry):
+                entries.append(entry)
         return Page(entries, None)
 
     def documents(self) -> set[str]:
         """Hashes of the documents that clients sent and some task still has."""
-        found: set[str] = set()
-        for packed in self.rows:
-            if packed is not None:
-                found.add(Entry(*_unpack(packed)).doc)
-        return found
+        return {Entry(*_unpack(packed)).doc for packed in self.rows if packed is not None}
 
 
 ALL = frozenset({LIVE, *(str(s) for s in FINAL)})
@@ -221,12 +213,6 @@
     return frozenset()
 
 
-def _down(bucket: array[int], after: int | None) -> Iterator[int]:
-    at = len(bucket) if after is None else bisect_left(bucket, after)
-    for i in range(at - 1, -1, -1):
-        yield bucket[i]
-
-
 def rows_of(entries: list[Entry]) -> list[list[Any]]:
     """Entries as a page of the state service keeps them; what is empty at the end is left out."""
     return [list(e) if e.state else list(e[:6]) for e in entries]
