--- a/coveflow/program.py
+++ b/coveflow/program.py
@@ -57,7 +57,11 @@
         if tuning.tes is not None:
             from coveflow.tes import start
 
-            start.attach(node, tuning.tes, (tuning_file or default).parent)
+            try:
+                start.attach(node, tuning.tes, (tuning_file or default).parent)
+            except s.SettingsError:
+                await node.session.close()
+                raise
         await node.run()
 
     try:
