--- a/coveflow/lab/serve.py
+++ b/coveflow/lab/serve.py
@@ -278,7 +278,8 @@
         folder = Path(self.plan["tasks"]) / f"{job}-{task}-{number}-{worker.name}"
         document = tm.read_document(self.truth.documents[job])
         size = self.truth.specs[job].tasks
-        run = self.runs[worker.name, key] = Run(job, task, document, folder, IMAGES, size)
+        images = IMAGES | self.site.images
+        run = self.runs[worker.name, key] = Run(job, task, document, folder, images, size)
         try:
             told = await run.go()
             while (worker.name, key) in self.runs:
--- a/coveflow/lab/site.py
+++ b/coveflow/lab/site.py
@@ -9,6 +9,7 @@
   (capacity small north (ordinary 4) (spot 4) (up 3))
   (team blue (cpus 16) (cpus-max 96))
   (class tally (team blue) (shape array) ...)
+  (image shell "/bin/sh")               ; put before the command of a task document's executors
   (objective deadline tally (share 0.9)))
 """
 
@@ -71,6 +72,7 @@
     teams: list[Team] = field(default_factory=list)
     classes: list[Class] = field(default_factory=list)
     objectives: list[dict[str, Any]] = field(default_factory=list)
+    images: dict[str, str] = field(default_factory=dict)  # programs that stand for images
     restart_s: float = 2.0  # s until a controller that ended is started again
 
     @property
@@ -112,6 +114,11 @@
                 site.teams.append(_team(values, at))
             case "class":
                 site.classes.append(job_class(values, at))
+            case "image":
+                if len(values) != 2:
+                    raise forms.FormError(f"{at}: (image NAME PATH)")
+                name, path = (forms.word(key, [value], origin) for value in values)
+                site.images[name] = path
             case "objective":
                 site.objectives.append(_objective(values, at))
             case _:
--- a/tests/test_tes_lab.py
+++ b/tests/test_tes_lab.py
@@ -38,7 +38,7 @@
   (state (rps 900) (write-rps 400) (value-kb 8) (txn-ops 24)) (cloud (rps 20) (list-lag-s 0.5))
   (type small (cpus 4) (ram-gb 16) (price 0.2) (spot-price 0.1) (boot-s 1) (fetch-gb-per-s 20))
   (capacity small north (ordinary 4) (up 2)) (capacity small south (ordinary 4) (up 2))
-  (team blue (cpus 16) (cpus-max 32)) (team green (cpus 8) (cpus-max 8)))"""
+  (image shell "/bin/sh") (team blue (cpus 16) (cpus-max 32)) (team green (cpus 8) (cpus-max 8)))"""
 
 
 def flat(rows):
@@ -351,6 +351,14 @@
     assert failed["logs"][0]["logs"][0]["exit_code"] == 7
 
 
+def test_an_image_may_stand_for_a_program(lab):
+    executors = [{"image": "shell", "command": ["-c", "echo by $0"]}]
+    _, found, _ = lab.ask("POST", "/tasks", {"executors": executors})
+    lab.all_agree(found["id"], "COMPLETE")
+    log = lab.ask("GET", f"/tasks/{found['id']}?view=FULL")[1]["logs"][0]
+    assert log["logs"][0]["stdout"] == "by /bin/sh\n"
+
+
 def test_outputs_cannot_lead_out_and_long_output_is_cut_and_told(lab):
     target = (lab.files / "tree").as_uri()
     task = lab.submit(
