One look at all tasks for a retired page; the guards of the newest pages in one place

The collector went through the whole index for every document it removed, logs included, though no other task ever has a log: at 200,000 tasks a fraction of a second each time, on the leader's loop. It now looks once a page, and again only if a task was accepted meanwhile; the root's removal is guarded as before. The guards of the newest pages were written out twice, in listings and here; Ledger.newest is both. Also: a second first submission and an unused result in the lab's tool went, and the listener uses the wire's pattern of an id.

--- a/coveflow/lab/tasks.py
+++ b/coveflow/lab/tasks.py
@@ -169,8 +169,8 @@
             node += 1
             await self._round(client, node)
 
-    async def _round(self, client: TaskClient, node: int) -> bool:
-        """Whether the node answered all."""
+    async def _round(self, client: TaskClient, node: int) -> None:
+        """Ask one node; what it does not answer is asked again in later rounds."""
         names = [n for n in self.known.values() if n not in self.final]
         done = [n for n in self.known.values() if n in self.final]
         names += self.rng.sample(done, min(6, len(done)))
@@ -187,7 +187,6 @@
             for row in (found or {}).get("tasks", ()) if status == 200 else ():
                 if row["id"] in self.known.values():
                     self.say(row["id"], row["state"], f"host-{node % 3}'s list")
-        return all(status == 200 for status, _, _ in answers)
 
     async def _last(self, client: TaskClient) -> None:
         """When all is over, every node says the same of every task, and lists each once."""
@@ -244,8 +243,6 @@
             cold_s = time.monotonic() - began
             some = [row["id"] for row in (await client.ask("GET", "/tasks"))["tasks"]]
             some = some or [await client.submit(_quick("first"), "first")]
-            if not known:
-                some = [await client.submit(_quick("first"), "first")]
             result = await _load(client, some, for_s, per_s)
             memory = [_memory_mb(cluster, name) for name in cluster.nodes]
             state = await cluster.ask(session, "/state/lab/state")
--- a/coveflow/tes/collector.py
+++ b/coveflow/tes/collector.py
@@ -21,7 +21,7 @@
 from coveflow.state.store import Conflict, Store
 from coveflow.tes import documents
 from coveflow.tes import index as ix
-from coveflow.tes.ledger import Busy, Ledger, logs_of, page_key, page_of
+from coveflow.tes.ledger import Busy, Ledger, logs_of, page_of
 
 log = Log("coveflow.tes")
 
@@ -160,10 +160,13 @@
             await self._remove_tasks(tasks[low : low + self.txn_ops // 2])
         for task in tasks:
             self.owner.inbox.terminal.pop(task, None)
-        still = self.ledger.index.documents()
+        newest, still = self.ledger.newest(), self.ledger.index.documents()
         for name in dict.fromkeys(row[1] for row in rows):
+            if newest != self.ledger.newest():
+                # Tasks came meanwhile, and may have it. A look at all tasks is not made for less.
+                newest, still = self.ledger.newest(), self.ledger.index.documents()
             if name not in still:
-                await self._remove_document(name)
+                await self._remove_document(name, newest)
         rev = self.ledger.pages.get(key, 0)
         if rev:
             await self._commit(self._guards() | {key: rev}, {key: None})
@@ -174,26 +177,18 @@
         found = await asyncio.gather(*(self.store.get(key) for key in keys))
         for record, _ in found:
             for name in logs_of(record or {}):
-                await self._remove_document(name)
+                await self._remove_document(name, {})  # no other task ever has it
         guards = {key: rev for key, (_, rev) in zip(keys, found, strict=True) if rev}
         if guards:
             await self._commit(self._guards() | guards, dict.fromkeys(guards))
 
-    async def _remove_document(self, name: str) -> None:
+    async def _remove_document(self, name: str, newest: dict[str, int]) -> None:
         """Its root first, guarded against every task that could come to have it; then the rest."""
         root = documents.key(name)
-        # What is known of the pages now is what `still` was taken from.
-        guards = self._guards()
-        for node, number in self.ledger.heads.items():
-            head = page_key(node, number)
-            guards[head] = self.ledger.pages.get(head, 0)
-            guards[page_key(node, number + 1)] = 0
         value, rev = await self.store.get(root)
         if value is None:
             return
-        if name in self.ledger.index.documents():
-            return
-        await self._commit(guards | {root: rev}, {root: None})
+        await self._commit(self._guards() | newest | {root: rev}, {root: None})
         for low in range(1, value["n"], self.txn_ops // 2):
             parts = range(low, min(low + self.txn_ops // 2, value["n"]))
             keys = [documents.key(name, i) for i in parts]
--- a/coveflow/tes/http.py
+++ b/coveflow/tes/http.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from coveflow import wire
 from coveflow.logs import Log
 from coveflow.net.http import Unavailable
 from coveflow.settings import SettingsError, Tes, address
@@ -29,7 +30,6 @@
 
 BASE = "/ga4gh/tes/v1"
 TASK = re.compile(re.escape(BASE) + r"/tasks/([^/:]+)(:cancel)?")
-JOB_ID = re.compile(r"j-[0-9]{1,40}")
 HEAD_BYTES = 8 * 1024  # of a request's line, and of a header's field
 HEADERS_MOST = 64  # fields of a request's head
 SWEEP_S = 0.5  # s between looks for connections that are too slow
@@ -213,7 +213,7 @@
         if match is None:
             return await (self._submit if method == "POST" else self._list)(request, client)
         name = match[1]
-        if not JOB_ID.fullmatch(name):
+        if not wire.JOB_ID.fullmatch(name):
             raise NotFound
         if match[2]:
             self._known(request, ())
--- a/coveflow/tes/ledger.py
+++ b/coveflow/tes/ledger.py
@@ -204,6 +204,15 @@
             value, rev = await self.store.get(SECRET)
             self.apply([(SECRET, value, rev)])
 
+    def newest(self) -> dict[str, int]:
+        """Guards that hold while no node has accepted a task that this copy does not know."""
+        guards: dict[str, int] = {}
+        for node, number in self.heads.items():
+            head = page_key(node, number)
+            guards[head] = self.pages.get(head, 0)
+            guards[page_key(node, number + 1)] = 0
+        return guards
+
     async def current(self) -> None:
         """Wait until this copy has all that was accepted before now; Unavailable if it does not.
 
@@ -213,12 +222,8 @@
         ends = self.clock() + CURRENT_S
         while True:
             if self.ready:
-                guards: dict[str, int] = {}
-                for node, number in self.heads.items():
-                    guards[page_key(node, number)] = self.pages.get(page_key(node, number), 0)
-                    guards[page_key(node, number + 1)] = 0
                 try:
-                    await self.store.commit(guards, {})
+                    await self.store.commit(self.newest(), {})
                     return
                 except Conflict:
                     pass  # the watch is about to tell
