One loop for what is asked of the cloud as the leader

Renting and returning each had the same loop: ask the store whether this node still leads, ask the cloud, wait longer after each failure. _of_the_cloud is that loop for both; what is asked, told and when it stops is as it was.

--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 import uuid
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import aiohttp
@@ -187,36 +187,37 @@
     async def _rent(self, want: fleet.Want) -> None:
         """Ask under one fresh name until it is answered; a name is never used twice."""
         name = f"{self.settings.name}-{uuid.uuid4().hex}"
-        pause = c.RETRY_S
         log.info("asking for machines", what=want.label())
-        while True:
+
+        async def ask() -> cm.Rented | cm.Refused:
             try:
-                if not await self._still_leading():
-                    return
-                machines = await self.cloud.rent(
-                    name, want.flavor, want.zone, want.spot, want.count
+                return cm.Rented(
+                    want,
+                    await self.cloud.rent(name, want.flavor, want.zone, want.spot, want.count),
                 )
-                self.owner.put(cm.Rented(want, machines))
-                return
             except NoCapacity:
-                self.owner.put(cm.Refused(want))
-                return
-            except Unavailable as error:
-                log.debug("rent failed", why=error)
-            await asyncio.sleep(pause)
-            pause = min(pause * 2, c.RETRY_MAX_S)
+                return cm.Refused(want)
+
+        await self._of_the_cloud("rent", ask)
 
     async def _return(self, machines: list[str]) -> None:
+        async def ask() -> cm.Returned:
+            await self.cloud.give_back(machines)
+            return cm.Returned(machines)
+
+        await self._of_the_cloud("return", ask)
+
+    async def _of_the_cloud(self, what: str, ask: Callable[[], Awaitable[cm.Command]]) -> None:
+        """Ask until it is answered and tell the owner; not at all once another node leads."""
         pause = c.RETRY_S
         while True:
             try:
                 if not await self._still_leading():
                     return
-                await self.cloud.give_back(machines)
-                self.owner.put(cm.Returned(machines))
+                self.owner.put(await ask())
                 return
             except Unavailable as error:
-                log.debug("return failed", why=error)
+                log.debug("cloud did not answer", what=what, why=error)
             await asyncio.sleep(pause)
             pause = min(pause * 2, c.RETRY_MAX_S)
 
