Pages that are over are known from the pages: retention outlives the leader

Found on reading the change again: which pages hold all their tasks' ends was state of the collector, filled as it folded. A new leader had none of it, so pages folded before it were never retired, and news whose page had it already was never removed and looked at again each round. It is now derived where pages are taken in (Ledger.ended), the same on every node. News is removed once no page needs it; before, it also went when its task was not heard of yet, which could have lost an end.

--- a/coveflow/tes/collector.py
+++ b/coveflow/tes/collector.py
@@ -38,8 +38,6 @@
     ) -> None:  # fmt: skip
         self.ledger, self.store, self.owner = ledger, store, owner
         self.txn_ops, self.retention_s, self.wall = txn_ops, retention_s, wall
-        # Newest end of each full page's tasks, in ms, once all have ended.
-        self.ended: dict[str, int] = {}
 
     async def run(self) -> None:
         while True:
@@ -96,53 +94,44 @@
             if value is not None:
                 news[key] = {row[0]: row for row in value["rows"]}
         told = {task: row for rows in news.values() for task, row in rows.items()}
-        folded = set()
-        for key in [k for k in self.ledger.pages if self._full(k) and k not in self.ledger.gone]:
-            if not told.keys() - folded:
-                break
-            if self.ended.get(key):
-                continue  # all its tasks have their final state there
-            folded |= await self._fold_page(key, told)
-        done = [
-            key for key, rows in news.items()
-            if all(task in folded or self.ledger.index.get(task) is None for task in rows)
-        ]  # fmt: skip
+        # Tasks whose ends no page has yet: in pages that are not full, or not heard of here.
+        needed = set(self.ledger.index.early)
+        for key in [k for k in self.ledger.pages if k not in self.ledger.ended]:
+            if key not in self.ledger.gone:
+                needed |= await self._fold_page(key, told)
+        done = [key for key, rows in news.items() if not needed & rows.keys()]
         for low in range(0, len(done), self.txn_ops):
             keys = done[low : low + self.txn_ops]
             guards = {key: self.ledger.ends[key] for key in keys if key in self.ledger.ends}
             await self._commit(self._guards() | guards, dict.fromkeys(guards))
 
     async def _fold_page(self, key: str, told: dict[str, list[Any]]) -> set[str]:
-        """Tasks whose final state the page has now."""
+        """Write the ends into the page if it is full; its tasks whose ends it has not."""
         value, rev = await self.store.get(key)
         if value is None or "rows" not in value:
             return set()
-        entries, found, changed = ix.entries_of(value["rows"]), set(), False
-        for i, entry in enumerate(entries):
-            row = told.get(entry.id)
-            if entry.state:
-                found.add(entry.id)
-            elif row is not None:
-                entries[i] = entry._replace(state=row[1], ended_ms=row[2])
-                found.add(entry.id)
-                changed = True
-        if changed:
-            rows = ix.rows_of(entries)
-            await self._commit(self._guards() | {key: rev}, {key: {"rows": rows}})
-        if all(entry.state for entry in entries):
-            self.ended[key] = max((entry.ended_ms for entry in entries), default=0)
-        return found
+        entries = ix.entries_of(value["rows"])
+        if self._full(key):
+            known = [
+                entry._replace(state=told[entry.id][1], ended_ms=told[entry.id][2])
+                if not entry.state and entry.id in told else entry
+                for entry in entries
+            ]  # fmt: skip
+            if known != entries:
+                rows = ix.rows_of(known)
+                await self._commit(self._guards() | {key: rev}, {key: {"rows": rows}})
+            entries = known
+        return {entry.id for entry in entries if not entry.state}
 
     # --- retention -----------------------------------------------------------------------
 
     def _due(self) -> list[str]:
         """Full pages whose last task ended longer ago than tasks are kept."""
         limit = int((self.wall() - self.retention_s) * 1000)
-        return [k for k, at in self.ended.items() if at <= limit and k in self.ledger.pages]
+        return [k for k, at in self.ledger.ended.items() if at <= limit and self._full(k)]
 
     async def retire(self, key: str) -> None:
         """Take the page's tasks out of all listings."""
-        self.ended.pop(key, None)
         value, rev = await self.store.get(key)
         if value is None or "rows" not in value:
             return
--- a/coveflow/tes/ledger.py
+++ b/coveflow/tes/ledger.py
@@ -96,6 +96,7 @@
         self.index = ix.Index()
         self.pages: dict[str, int] = {}  # revisions of the pages that hold tasks or are gone
         self.gone: dict[str, list[Any]] = {}  # what pages leave behind that is to be removed
+        self.ended: dict[str, int] = {}  # pages that have all their tasks' ends: the last, in ms
         self.heads: dict[str, int] = dict.fromkeys(self.nodes, 0)  # number of each newest page
         self.own: list[list[Any]] = []  # rows of this node's newest page
         self.ends: dict[str, int] = {}  # news of ends that is not in the pages yet
@@ -116,6 +117,7 @@
 
     def _page(self, key: str, value: Any, rev: int) -> None:
         node, number = page_of(key)
+        self.ended.pop(key, None)
         if value is None:
             self.pages.pop(key, None)
             self.gone.pop(key, None)
@@ -126,8 +128,11 @@
                 self.index.remove(task)
             self.gone[key] = value["gone"]
         else:
-            for entry in ix.entries_of(value["rows"]):
+            entries = ix.entries_of(value["rows"])
+            for entry in entries:
                 self.index.add(entry)
+            if all(entry.state for entry in entries):
+                self.ended[key] = max((entry.ended_ms for entry in entries), default=0)
         if number >= self.heads.get(node, 0):
             self.heads[node] = number
             if node == self.settings.name:
