Membership in a package of its own, below the daemon; names of keys below both

No behaviour changes.

The renaming changed the source of a derandomized test and with it its examples: one of them failed, on the sources before too. Its crash replaced node b by a second node named a, and submissions beside a failed one went on after the step and committed behind the listings' back. Both mended in the test.

--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -12,13 +12,14 @@
 from coveflow import constants as c
 from coveflow import wire
 from coveflow.core.model import Order, Report
-from coveflow.daemon.commands import MAIL, REPLY, VIEW, Heard, Vouched
+from coveflow.daemon.commands import Heard, Vouched
 from coveflow.daemon.owner import Owner
-from coveflow.daemon.peers import RELAY, Peers
 from coveflow.logs import Log
+from coveflow.membership.peers import RELAY, Peers
 from coveflow.net.http import Unavailable
 from coveflow.settings import Settings
 from coveflow.state import records
+from coveflow.state.keys import MAIL, REPLY, VIEW
 from coveflow.state.store import Conflict, Store
 
 log = Log("coveflow.agents")
--- a/coveflow/daemon/book.py
+++ b/coveflow/daemon/book.py
@@ -18,8 +18,9 @@
 from coveflow.core.estimates import Predictor
 from coveflow.core.model import Job, Machine, Placement
 from coveflow.daemon.around import Around
-from coveflow.daemon.commands import SLOT, Accepted, Drain, End, Held, Release
+from coveflow.daemon.commands import Accepted, Drain, End, Held, Release
 from coveflow.logs import Log
+from coveflow.state.keys import SLOT
 from coveflow.state.records import Records
 
 log = Log("coveflow.owner")
--- a/coveflow/daemon/commands.py
+++ b/coveflow/daemon/commands.py
@@ -1,4 +1,4 @@
-"""What goes through the owner's queue, and the names of what the state service keeps."""
+"""What goes through the owner's queue; the names of what the state service keeps beside it."""
 
 from __future__ import annotations
 
@@ -11,37 +11,6 @@
 from coveflow.core.model import Flavor, Job, Listed, Machine, Placement, Report, Spec
 from coveflow.state.records import Draft
 
-INBOX = "in/"
-VIEW = "in/view"
-TYPES = "in/types"
-MEMBER = "in/member/"
-JOB = "in/job/"
-MAIL = "in/mail/"  # reports of workers that only a cut-off member hears
-REPLY = "in/reply/"  # the leader's answers to them
-OLD = "old/"
-STATE = "st/"
-SLOT = "st/slot/"
-HISTORY = "st/history"
-# Items within the slots.
-FLOOR = "j/"  # a job's spent attempt numbers
-CHUNK = "d/"  # a job's completed tasks, by chunk
-HELD = "h/"  # a job's tasks that wait for an operator's word, or were given up
-MACHINE = "m/"  # a machine and the attempts that may be on it
-
-
-class View(msgspec.Struct, eq=False):
-    """Who may give commands; `epoch` is the workers' token."""
-
-    epoch: int = 0
-    leader: str = ""
-    members: list[str] = []
-    rev: int = 0
-
-
-def view_value(view: View) -> dict[str, Any]:
-    """The record of a view."""
-    return {"epoch": view.epoch, "leader": view.leader, "members": view.members}
-
 
 class Accepted(msgspec.Struct, eq=False):
     spec: Spec
--- a/coveflow/daemon/commits.py
+++ b/coveflow/daemon/commits.py
@@ -9,22 +9,10 @@
 from coveflow.core.model import Job, Machine, ranges
 from coveflow.daemon.around import Around
 from coveflow.daemon.book import Book
-from coveflow.daemon.commands import (
-    CHUNK,
-    FLOOR,
-    HELD,
-    HISTORY,
-    JOB,
-    MACHINE,
-    OLD,
-    VIEW,
-    End,
-    Release,
-    Settled,
-    Txn,
-)
+from coveflow.daemon.commands import End, Release, Settled, Txn
 from coveflow.daemon.inbox import Inbox
 from coveflow.logs import Log
+from coveflow.state.keys import CHUNK, FLOOR, HELD, HISTORY, JOB, MACHINE, OLD, VIEW
 from coveflow.state.records import Draft, size_of
 
 log = Log("coveflow.owner")
--- a/coveflow/daemon/front.py
+++ b/coveflow/daemon/front.py
@@ -14,10 +14,11 @@
 from coveflow.core.model import Spec, placeable
 from coveflow.daemon import commands as cm
 from coveflow.daemon import owner as o
-from coveflow.daemon.peers import Peers
 from coveflow.logs import Log
+from coveflow.membership.peers import Peers
 from coveflow.net.http import Unavailable
 from coveflow.settings import Settings
+from coveflow.state import keys as sk
 from coveflow.state.store import Conflict, Store
 
 log = Log("coveflow.front")
@@ -150,7 +151,7 @@
         rev = await future
         if rev is None:
             return False
-        self.owner.put(cm.InboxRows([(cm.JOB + name, record, rev)]))
+        self.owner.put(cm.InboxRows([(sk.JOB + name, record, rev)]))
         return True
 
     async def _batch(self) -> None:
@@ -167,8 +168,8 @@
                     taken[entry[0]] = entry[1]
                     batch.append(entry)
             self.waiting = later
-            guards = {cm.JOB + n: 0 for n in taken} | {cm.OLD + n: 0 for n in taken}
-            writes = {cm.JOB + n: record for n, record in taken.items()}
+            guards = {sk.JOB + n: 0 for n in taken} | {sk.OLD + n: 0 for n in taken}
+            writes = {sk.JOB + n: record for n, record in taken.items()}
             try:
                 rev = await self.store.sure_commit(guards, writes, self.clock() + SUBMIT_S)
             except Conflict as conflict:
@@ -212,11 +213,11 @@
         if checked.same:
             # What was compared counts, not what this node knows by now.
             return checked.known
-        value, rev = await self.store.get(cm.JOB + name)
+        value, rev = await self.store.get(sk.JOB + name)
         if value is not None:
             return cm.accepted_of(msgspec.convert(value["spec"], Spec), value, rev)
         # Jobs only ever move from the one key to the other, so this order misses none.
-        value, _ = await self.store.get(cm.OLD + name)
+        value, _ = await self.store.get(sk.OLD + name)
         if value is not None:
             self.owner.inbox.remember_terminal(name, value)
         return value
@@ -255,9 +256,9 @@
                     break
                 known = self.owner.inbox.accepted.get(name)
                 if known is not None:
-                    guards[cm.JOB + name] = known.rev
+                    guards[sk.JOB + name] = known.rev
                 else:
-                    guards |= {cm.JOB + name: 0, cm.OLD + name: 0}
+                    guards |= {sk.JOB + name: 0, sk.OLD + name: 0}
                 batch[name], compared[name] = future, known
             for name in batch:
                 del self.asked[name]
@@ -339,7 +340,7 @@
         """
         deadline = self.clock() + SUBMIT_S
         while True:
-            value, rev = await self.store.get(cm.JOB + name)
+            value, rev = await self.store.get(sk.JOB + name)
             if value is None:
                 return False
             new = change(value)
@@ -347,11 +348,11 @@
                 return True
             try:
                 rev = await self.store.sure_commit(
-                    {cm.JOB + name: rev}, {cm.JOB + name: new}, deadline
+                    {sk.JOB + name: rev}, {sk.JOB + name: new}, deadline
                 )
             except Conflict:
                 continue
-            self.owner.put(cm.InboxRows([(cm.JOB + name, new, rev)]))
+            self.owner.put(cm.InboxRows([(sk.JOB + name, new, rev)]))
             return True
 
     def recent_cancels(self) -> list[str]:
--- a/coveflow/daemon/inbox.py
+++ b/coveflow/daemon/inbox.py
@@ -10,19 +10,9 @@
 
 from coveflow import constants as c
 from coveflow.core.model import Flavor, Spec
-from coveflow.daemon.commands import (
-    JOB,
-    MAIL,
-    MEMBER,
-    REPLY,
-    TYPES,
-    VIEW,
-    Accepted,
-    InboxRows,
-    View,
-    accepted_of,
-)
+from coveflow.daemon.commands import Accepted, InboxRows, accepted_of
 from coveflow.logs import Log
+from coveflow.state.keys import JOB, MAIL, MEMBER, REPLY, TYPES, VIEW, View
 
 log = Log("coveflow.owner")
 
--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -18,14 +18,15 @@
 from coveflow.daemon import owner as o
 from coveflow.daemon.agents import Agents
 from coveflow.daemon.front import Front
-from coveflow.daemon.membership import Membership
 from coveflow.daemon.operators import PATHS, Operators
-from coveflow.daemon.peers import Peers
 from coveflow.daemon.tracing import Tracer
 from coveflow.logs import Log
+from coveflow.membership.lead import Membership
+from coveflow.membership.peers import Peers
 from coveflow.net.cloud import Cloud, NoCapacity
 from coveflow.net.http import Unavailable
 from coveflow.settings import Settings, Tuning, address
+from coveflow.state import keys as sk
 from coveflow.state.store import Conflict, Store
 
 log = Log("coveflow.node")
@@ -102,7 +103,7 @@
             "name": self.settings.name,
             "boot": self.peers.boot,
             "epoch": self.owner.inbox.view.epoch,
-            "view": cm.view_value(self.owner.inbox.view),
+            "view": sk.view_value(self.owner.inbox.view),
             "view_rev": self.owner.inbox.view.rev,
             "leading": bool(self.owner.leading),
             "store_age": now - self.store.contact,
@@ -114,7 +115,7 @@
     def viewed(self, view: dict[str, Any], rev: int) -> None:
         """A peer's view; a newer one counts as if the store had told it."""
         if rev > self.owner.inbox.view.rev:
-            self.owner.put(cm.InboxRows([(cm.VIEW, view, rev)]))
+            self.owner.put(cm.InboxRows([(sk.VIEW, view, rev)]))
 
     async def relayed(self, body: bytes) -> bytes | None:
         return await self.agents.relayed(body)
@@ -179,7 +180,7 @@
         fleet back because it heard no worker any more.
         """
         try:
-            await self.store.commit({cm.VIEW: self.owner.book.rev}, {})
+            await self.store.commit({sk.VIEW: self.owner.book.rev}, {})
         except Conflict:
             return False
         return True
@@ -263,9 +264,9 @@
                     flavors = await self.cloud.flavors()
                     value = {"types": [msgspec.to_builtins(f) for f in flavors]}
                     rev = await self.store.sure_commit(
-                        {cm.TYPES: 0}, {cm.TYPES: value}, self.clock() + 3.0
+                        {sk.TYPES: 0}, {sk.TYPES: value}, self.clock() + 3.0
                     )
-                    self.owner.put(cm.InboxRows([(cm.TYPES, value, rev)]))
+                    self.owner.put(cm.InboxRows([(sk.TYPES, value, rev)]))
                 elif self.owner.leading:
                     self.owner.put(cm.Prices(await self.cloud.flavors()))
                     await asyncio.sleep(PRICES_S)
--- a/coveflow/daemon/owner.py
+++ b/coveflow/daemon/owner.py
@@ -11,6 +11,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -43,6 +44,7 @@
 from coveflow.logs import Log
 from coveflow.net.meters import Meters
 from coveflow.settings import Settings, Tuning
+from coveflow.state.keys import View
 from coveflow.state.records import Unreadable
 
 log = Log("coveflow.owner")
@@ -81,6 +83,27 @@
         """The epoch in which this process leads; 0 if it does not."""
         return self.book.leading
 
+    # --- as membership sees it -----------------------------------------------------------
+
+    @property
+    def view(self) -> View:
+        return self.inbox.view
+
+    @property
+    def members(self) -> dict[str, int]:
+        return self.inbox.members
+
+    def may_try(self, now: float) -> bool:
+        return bool(self.inbox.flavors) and now >= self.lead_after
+
+    async def tell(self, rows: list[tuple[str, Any, int]], listed: int | None) -> None:
+        applied = asyncio.get_running_loop().create_future()
+        self.put(InboxRows(rows, listed, applied))
+        await applied
+
+    def lead(self, epoch: int, rev: int, rows: list[tuple[str, Any, int]]) -> None:
+        self.put(Lead(epoch, rev, rows))
+
     # --- the queue ---------------------------------------------------------------------
 
     def put(self, command: Command) -> None:
--- a/coveflow/daemon/restore.py
+++ b/coveflow/daemon/restore.py
@@ -6,9 +6,9 @@
 
 from coveflow.core.model import Machine, Placement, unranges
 from coveflow.daemon.book import Book
-from coveflow.daemon.commands import CHUNK, FLOOR, HELD, HISTORY, MACHINE
 from coveflow.daemon.inbox import Inbox
 from coveflow.logs import Log
+from coveflow.state.keys import CHUNK, FLOOR, HELD, HISTORY, MACHINE
 from coveflow.state.records import Unreadable
 
 log = Log("coveflow.owner")
--- a/coveflow/lab/filled.py
+++ b/coveflow/lab/filled.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from coveflow.daemon import commands as cm
 from coveflow.lab.store import Row, Store
+from coveflow.state import keys as sk
 from coveflow.state import records
 from coveflow.tes import documents, ledger, models
 from coveflow.tes import index as ix
@@ -57,7 +57,7 @@
             rows, size, number = [], records.size_of("", row), number + 1
         rows += row
         pages[node] = (rows, size, number)
-        store.rows[cm.OLD + entry.id] = Row(msgspec.to_builtins(record), store.rev)
+        store.rows[sk.OLD + entry.id] = Row(msgspec.to_builtins(record), store.rev)
     for node, (rows, _, number) in pages.items():
         _page(store, node, number, rows)
 
--- a/coveflow/membership/lead.py
+++ b/coveflow/membership/lead.py
@@ -4,14 +4,13 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
 
 from coveflow import constants as c
-from coveflow.daemon import commands as cm
-from coveflow.daemon import owner as o
 from coveflow.logs import Log
+from coveflow.membership.seat import Row, Seat
 from coveflow.net.http import Unavailable
 from coveflow.settings import Settings
+from coveflow.state import keys as sk
 from coveflow.state.store import Conflict, Expired, Store, TooOld
 
 log = Log("coveflow.membership")
@@ -22,11 +21,11 @@
         self,
         settings: Settings,
         store: Store,
-        owner: o.Owner,
+        seat: Seat,
         clock: Callable[[], float],
         isolated: Callable[[], bool],
     ) -> None:
-        self.settings, self.store, self.owner, self.clock = settings, store, owner, clock
+        self.settings, self.store, self.seat, self.clock = settings, store, seat, clock
         self.isolated = isolated
         self.known_at = -1e9  # every cancellation committed before this is known here
         self.on_contact: Callable[[], None] = lambda: None
@@ -37,7 +36,7 @@
 
     async def run_hold(self) -> None:
         """Keep this node's member key alive while it can serve."""
-        key = cm.MEMBER + self.settings.name
+        key = sk.MEMBER + self.settings.name
         while True:
             try:
                 if self.isolated():
@@ -77,7 +76,7 @@
                 if self._may_lead():
                     after = await self._take_over()
                 opened = self.clock()
-                after, events, sent = await self.store.watch(cm.INBOX, after, c.WATCH_HOLD_S)
+                after, events, sent = await self.store.watch(sk.INBOX, after, c.WATCH_HOLD_S)
                 await self._tell(events, None)
                 self._contact(sent)
                 pause = c.RETRY_S
@@ -92,7 +91,7 @@
 
     async def _list(self) -> int:
         sent = self.clock()
-        rows, rev = await self.store.list(cm.INBOX)
+        rows, rev = await self.store.list(sk.INBOX)
         await self._tell(rows, rev)
         self._contact(sent)
         return rev
@@ -101,49 +100,44 @@
         self.known_at = max(self.known_at, sent)
         self.on_contact()
 
-    async def _tell(self, rows: list[tuple[str, Any, int]], listed: int | None) -> None:
-        if not rows and listed is None:
-            return
-        applied = asyncio.get_running_loop().create_future()
-        self.owner.put(cm.InboxRows(rows, listed, applied))
-        await applied
+    async def _tell(self, rows: list[Row], listed: int | None) -> None:
+        if rows or listed is not None:
+            await self.seat.tell(rows, listed)
 
     # --- leadership --------------------------------------------------------------------
 
     def _may_lead(self) -> bool:
-        owner, me = self.owner, self.settings.name
-        if me not in owner.inbox.members or self.grant is None or not owner.inbox.flavors:
-            return False
-        if owner.leading and not self.retake:
+        seat, me = self.seat, self.settings.name
+        if me not in seat.members or self.grant is None or not seat.may_try(self.clock()):
             return False
-        if self.clock() < owner.lead_after:
+        if seat.leading and not self.retake:
             return False
-        leader = owner.inbox.view.leader
-        return leader == me or leader not in owner.inbox.members
+        leader = seat.view.leader
+        return leader == me or leader not in seat.members
 
     async def _take_over(self) -> int:
         """Raise the epoch with this node as leader, then load all from the store."""
-        owner, me = self.owner, self.settings.name
-        old = owner.inbox.view
-        guards = {cm.VIEW: old.rev}
+        seat, me = self.seat, self.settings.name
+        old = seat.view
+        guards = {sk.VIEW: old.rev}
         if old.leader and old.leader != me:
-            guards[cm.MEMBER + old.leader] = 0
+            guards[sk.MEMBER + old.leader] = 0
         epoch = old.epoch + 1
-        value = {"epoch": epoch, "leader": me, "members": sorted(owner.inbox.members)}
+        value = {"epoch": epoch, "leader": me, "members": sorted(seat.members)}
         self.store.set_leading(True)
         try:
-            rev = await self.store.sure_commit(guards, {cm.VIEW: value}, self.clock() + 3.0)
+            rev = await self.store.sure_commit(guards, {sk.VIEW: value}, self.clock() + 3.0)
         except (Conflict, Unavailable):
-            self.store.set_leading(bool(owner.leading))
+            self.store.set_leading(bool(seat.leading))
             await asyncio.sleep(c.WATCH_PACE_S)
             return await self._list()
         self.retake = False
         log.info("taking over", epoch=epoch)
-        await self._tell([(cm.VIEW, value, rev)], None)
+        await self._tell([(sk.VIEW, value, rev)], None)
         # Whatever an older leader had under way fails on the view from here on, so what is
         # read now is final but for what users add.
         after = await self._list()
-        rows, _ = await self.store.list(cm.STATE)
-        owner.put(cm.Lead(epoch, rev, rows))
-        await self._tell([(cm.VIEW, value, rev)], None)
+        rows, _ = await self.store.list(sk.STATE)
+        seat.lead(epoch, rev, rows)
+        await self._tell([(sk.VIEW, value, rev)], None)
         return after
--- /dev/null
+++ b/coveflow/state/keys.py
@@ -0,0 +1,38 @@
+"""The names of what the state service keeps, and the record of who may give commands."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+INBOX = "in/"
+VIEW = "in/view"
+TYPES = "in/types"
+MEMBER = "in/member/"
+JOB = "in/job/"
+MAIL = "in/mail/"  # reports of workers that only a cut-off member hears
+REPLY = "in/reply/"  # the leader's answers to them
+OLD = "old/"
+STATE = "st/"
+SLOT = "st/slot/"
+HISTORY = "st/history"
+# Items within the slots.
+FLOOR = "j/"  # a job's spent attempt numbers
+CHUNK = "d/"  # a job's completed tasks, by chunk
+HELD = "h/"  # a job's tasks that wait for an operator's word, or were given up
+MACHINE = "m/"  # a machine and the attempts that may be on it
+
+
+class View(msgspec.Struct, eq=False):
+    """Who may give commands; `epoch` is the workers' token."""
+
+    epoch: int = 0
+    leader: str = ""
+    members: list[str] = []
+    rev: int = 0
+
+
+def view_value(view: View) -> dict[str, Any]:
+    """The record of a view."""
+    return {"epoch": view.epoch, "leader": view.leader, "members": view.members}
--- a/coveflow/tes/collector.py
+++ b/coveflow/tes/collector.py
@@ -14,10 +14,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from coveflow.daemon import commands as cm
 from coveflow.daemon.owner import Owner
 from coveflow.logs import Log
 from coveflow.net.http import Unavailable
+from coveflow.state import keys as sk
 from coveflow.state.store import Conflict, Store
 from coveflow.tes import documents
 from coveflow.tes import index as ix
@@ -66,7 +66,7 @@
         return number < self.ledger.heads.get(node, 0)
 
     def _guards(self) -> dict[str, int]:
-        return {cm.VIEW: self.owner.book.rev}
+        return {sk.VIEW: self.owner.book.rev}
 
     async def _commit(self, guards: dict[str, int], writes: dict[str, Any]) -> int:
         """Only as the leader that began this, and within the interface's part of the budget."""
@@ -162,7 +162,7 @@
 
     async def _remove_tasks(self, tasks: list[str]) -> None:
         """Logs before the records that name them, so that none is left if this ends midway."""
-        keys = [cm.OLD + task for task in tasks]
+        keys = [sk.OLD + task for task in tasks]
         found = await asyncio.gather(*(self.store.get(key) for key in keys))
         for record, _ in found:
             for name in logs_of(record or {}):
--- a/coveflow/tes/intake.py
+++ b/coveflow/tes/intake.py
@@ -18,6 +18,7 @@
 from coveflow.daemon import commands as cm
 from coveflow.logs import Log
 from coveflow.net.http import Unavailable
+from coveflow.state import keys as sk
 from coveflow.state import records
 from coveflow.state.store import Conflict, Store
 from coveflow.tes import documents, ledger
@@ -76,8 +77,8 @@
         deadline = self.clock() + SUBMIT_S
         for _ in range(TRIES):
             guards, writes = await self.document(cut, deadline)
-            guards |= {cm.JOB + entry.id: 0, cm.OLD + entry.id: 0}
-            writes[cm.JOB + entry.id] = record
+            guards |= {sk.JOB + entry.id: 0, sk.OLD + entry.id: 0}
+            writes[sk.JOB + entry.id] = record
             size = sum(records.size_of(key, value) for key, value in writes.items())
             one = Submission(entry, record, guards, writes, size)
             self.waiting.append(one)
@@ -91,7 +92,7 @@
                 return False
             if len(self.roots) > ROOTS_KEPT:
                 self.roots.popitem(last=False)
-            self.put(cm.InboxRows([(cm.JOB + entry.id, record, rev)]))
+            self.put(cm.InboxRows([(sk.JOB + entry.id, record, rev)]))
             return True
         raise Unavailable("documents came and went while the task was being accepted")
 
@@ -230,7 +231,7 @@
         """Nothing was applied. Those at fault are told; the others go again."""
         again: list[Submission] = []
         for one in batch:
-            mine = {cm.JOB + one.entry.id, cm.OLD + one.entry.id} & failed
+            mine = {sk.JOB + one.entry.id, sk.OLD + one.entry.id} & failed
             stale = [k for k in one.guards if k.startswith(documents.DOC) and k in failed]
             if mine:
                 if not one.future.done():
--- a/coveflow/tes/service.py
+++ b/coveflow/tes/service.py
@@ -23,6 +23,7 @@
 from coveflow.logs import Log
 from coveflow.net.http import Unavailable
 from coveflow.settings import Settings, Tes
+from coveflow.state import keys as sk
 from coveflow.state.store import Conflict, Store
 from coveflow.tes import documents, mapping, models, tokens
 from coveflow.tes import index as ix
@@ -385,7 +386,7 @@
         inbox = self.owner.inbox
         if name not in inbox.terminal:
             self.ledger.requests.take()
-            value, _ = await self.store.get(cm.OLD + name)
+            value, _ = await self.store.get(sk.OLD + name)
             if value is None:
                 return None
             inbox.remember_terminal(name, value)
@@ -409,7 +410,7 @@
         row = [told.code, cut.hash, *(["system"] if told.system else [])]
         deadline = self.clock() + RESULT_S
         while True:
-            record, rev = await self.store.get(cm.JOB + job)
+            record, rev = await self.store.get(sk.JOB + job)
             if record is None or record.get("cancel") is not None:
                 return "over"
             outcome = record.get("outcome") or {}
@@ -417,8 +418,8 @@
                 return "known"
             guards, writes = await self.intake.document(cut, deadline)
             new = {**record, "outcome": {**outcome, str(task): row}}
-            guards[cm.JOB + job] = rev
-            writes[cm.JOB + job] = new
+            guards[sk.JOB + job] = rev
+            writes[sk.JOB + job] = new
             try:
                 rev = await self.store.sure_commit(guards, writes, deadline)
             except Conflict as conflict:
@@ -427,7 +428,7 @@
                 if self.clock() > deadline:
                     raise Unavailable("the task's record keeps changing") from None
                 continue
-            self.owner.put(cm.InboxRows([(cm.JOB + job, new, rev)]))
+            self.owner.put(cm.InboxRows([(sk.JOB + job, new, rev)]))
             log.info("task told its end", task=f"{job}/{task}", code=told.code)
             return "kept"
 
--- a/coveflow/trace/record.py
+++ b/coveflow/trace/record.py
@@ -18,11 +18,11 @@
 import aiohttp
 
 from coveflow import wire
-from coveflow.daemon.commands import JOB, OLD
 from coveflow.daemon.operators import TRACE
 from coveflow.logs import Log
 from coveflow.net.http import Client, Unavailable
 from coveflow.settings import Settings
+from coveflow.state.keys import JOB, OLD
 from coveflow.trace.files import RECORDER, Event, TraceError, Writer
 from coveflow.wire import far
 
--- a/coveflow/whatif/world.py
+++ b/coveflow/whatif/world.py
@@ -27,6 +27,7 @@
 from coveflow.lab.truth import INF, Truth
 from coveflow.lab.worker import Attempt, Worker
 from coveflow.settings import Settings, Tuning
+from coveflow.state import keys as sk
 
 ANSWER_S = 4.0  # s a worker waits for an answer; the protocol's own number
 NEXT_S = 1.0  # s until it tries the next node
@@ -113,7 +114,7 @@
         self.cloud.on_rent = self._rented
         self.cloud.on_gone = self._machine_gone
         types = [msgspec.to_builtins(f) for f in self.cloud.flavors.values()]
-        self.write({cm.TYPES: {"types": types}}, {})
+        self.write({sk.TYPES: {"types": types}}, {})
         for name in self.names:
             self.boot(name)
         self.every(TIMER_S, self._timer)
@@ -155,9 +156,9 @@
             return conflict.keys
         changed = []
         for key, value in writes.items():
-            if key.startswith(cm.OLD) and value is not None:
-                self._final(key[len(cm.OLD) :], value)
-            if key.startswith(cm.INBOX):
+            if key.startswith(sk.OLD) and value is not None:
+                self._final(key[len(sk.OLD) :], value)
+            if key.startswith(sk.INBOX):
                 changed.append((key, value, rev))
         if changed:
             for name in self.owners:
@@ -203,7 +204,7 @@
         self.budget[name].at = self.now
         self.owners[name] = owner
         self.booted(name, owner)
-        owner.work([cm.InboxRows(self.rows(cm.INBOX), listed=self.store.rev)])
+        owner.work([cm.InboxRows(self.rows(sk.INBOX), listed=self.store.rev)])
 
     def booted(self, name: str, owner: o.Owner) -> None:
         """For those who watch or tamper with a controller."""
@@ -225,14 +226,14 @@
         owner = self.owners.get(name)
         if owner is None or self.store_down_until > self.now:
             return
-        row = self.store.get(cm.VIEW)
+        row = self.store.get(sk.VIEW)
         value, rev = (row.value, row.rev) if row is not None else ({"epoch": 0}, 0)
         new = {"epoch": value["epoch"] + 1, "leader": name, "members": [name]}
-        done = self.write({cm.VIEW: new}, {cm.VIEW: rev})
+        done = self.write({sk.VIEW: new}, {sk.VIEW: rev})
         assert isinstance(done, int)
         owner.work([
-            cm.InboxRows(self.rows(cm.INBOX), listed=self.store.rev),
-            cm.Lead(new["epoch"], done, self.rows(cm.STATE)),
+            cm.InboxRows(self.rows(sk.INBOX), listed=self.store.rev),
+            cm.Lead(new["epoch"], done, self.rows(sk.STATE)),
         ])  # fmt: skip
 
     def crash(self, name: str, back_s: float = 8.0) -> None:
@@ -358,7 +359,7 @@
         """The node asks the store whether it still leads, then the cloud."""
         if self.owners.get(name) is not owner or self.cut_nodes.get(name, 0.0) > self.now:
             return
-        row = self.store.get(cm.VIEW)
+        row = self.store.get(sk.VIEW)
         if row is None or row.value["epoch"] != epoch:
             return
         if self.cloud_down_until > self.now:
@@ -404,13 +405,13 @@
         record = {"spec": msgspec.to_builtins(spec), "at": self.now}
         if rider is not None:
             record["rider"] = rider
-        self.write({cm.JOB + spec.id: record}, {cm.JOB + spec.id: 0, cm.OLD + spec.id: 0})
+        self.write({sk.JOB + spec.id: record}, {sk.JOB + spec.id: 0, sk.OLD + spec.id: 0})
 
     def cancel(self, job: str) -> None:
-        row = self.store.get(cm.JOB + job)
+        row = self.store.get(sk.JOB + job)
         if row is None or row.value.get("cancel") is not None:
             return
-        self.write({cm.JOB + job: {**row.value, "cancel": self.now}}, {cm.JOB + job: row.rev})
+        self.write({sk.JOB + job: {**row.value, "cancel": self.now}}, {sk.JOB + job: row.rev})
         self.cancelled[job] = self.now
         self.checker.see({"at": self.now, "kind": "cancel", "job": job})
         self.checker.see(
--- a/tests/tes_nodes.py
+++ b/tests/tes_nodes.py
@@ -15,10 +15,11 @@
 from coveflow.daemon import commands as cm
 from coveflow.daemon import owner as o
 from coveflow.daemon.front import Front
-from coveflow.daemon.peers import Peers
 from coveflow.lab.store import Failed
 from coveflow.lab.store import Store as Model
+from coveflow.membership.peers import Peers
 from coveflow.net.http import Bucket, Unavailable, Unsure
+from coveflow.state import keys as sk
 from coveflow.state.store import Conflict
 from coveflow.tes.access import Client
 from coveflow.tes.collector import Collector
@@ -126,27 +127,27 @@
 
     def lead(self) -> None:
         """Write a view with this node as leader, as membership does."""
-        row = self.store.model.get(cm.VIEW)
+        row = self.store.model.get(sk.VIEW)
         epoch = (row.value["epoch"] if row else 0) + 1
         value = {"epoch": epoch, "leader": self.front.settings.name, "members": ["a", "b"]}
-        rev = self.store.model.commit({}, {cm.VIEW: (value, None)}, 0.0)
-        self.owner.work([cm.InboxRows([(cm.VIEW, value, rev)])])
-        rows = [(k, r.value, r.rev) for k, r in self.store.model.list(cm.STATE, "", 10**6)[0]]
+        rev = self.store.model.commit({}, {sk.VIEW: (value, None)}, 0.0)
+        self.owner.work([cm.InboxRows([(sk.VIEW, value, rev)])])
+        rows = [(k, r.value, r.rev) for k, r in self.store.model.list(sk.STATE, "", 10**6)[0]]
         self.owner.work([cm.Lead(epoch, rev, rows)])
         assert self.owner.leading
 
     def over(self, task: str, status: str = "done", **more) -> None:
         """The leader's final record of a job, with its news, as `Commits` writes it."""
         model = self.store.model
-        row = model.get(cm.JOB + task)
+        row = model.get(sk.JOB + task)
         record = {
             "status": status, "done": 1, "rider": row.value["rider"],
             "outcome": row.value.get("outcome") or {}, **more,
         }  # fmt: skip
         news = self.ledger.finals(f"1-{model.rev}", {task: record})
-        writes = {cm.OLD + task: record, cm.JOB + task: None} | news
+        writes = {sk.OLD + task: record, sk.JOB + task: None} | news
         model.commit(
-            {cm.JOB + task: row.rev}, {k: (v, None) for k, v in writes.items()}, 0.0
+            {sk.JOB + task: row.rev}, {k: (v, None) for k, v in writes.items()}, 0.0
         )
 
 
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -10,8 +10,9 @@
 from coveflow.daemon import commands as cm
 from coveflow.daemon import owner as o
 from coveflow.daemon.agents import Agents
-from coveflow.daemon.peers import Peers
+from coveflow.membership.peers import Peers
 from coveflow.net.http import Unavailable
+from coveflow.state import keys as sk
 from tests.samples import flavor
 from tests.world import CANCEL_S, LEASE_S, node_settings
 
@@ -29,7 +30,7 @@
 
     async def commit(self, guards, writes):
         ((key, value),) = writes.items()
-        assert key == cm.MAIL + "b" and value["reports"]["n-1"][5] == 7
+        assert key == sk.MAIL + "b" and value["reports"]["n-1"][5] == 7
         self.agents.replied(self.answer(value))
         return 1
 
@@ -37,7 +38,7 @@
 def follower(answer, clock=lambda: 100.0):
     settings = node_settings("b", [])
     owner = o.Owner(settings, o.Tuning(), clock, clock)
-    owner.inbox.view = cm.View(3, "a", ["a", "b"], 1)
+    owner.inbox.view = sk.View(3, "a", ["a", "b"], 1)
     store = Mailbox(answer)
     peers = Peers(settings, None, clock, dict, None)
     store.agents = Agents(settings, owner, peers, clock, lambda: 100.0, store)
@@ -85,17 +86,17 @@
     """Its workers stayed with it, and the new leader returned all of them as silent."""
     settings = node_settings("a", [])
     owner = o.Owner(settings, o.Tuning(), lambda: 9.0, lambda: 9.0)
-    old = cm.View(3, "a", ["a", "b"], 7)
-    owner.work([cm.InboxRows([(cm.VIEW, cm.view_value(old), 7)], listed=7), cm.Lead(3, 7, [])])
+    old = sk.View(3, "a", ["a", "b"], 7)
+    owner.work([cm.InboxRows([(sk.VIEW, sk.view_value(old), 7)], listed=7), cm.Lead(3, 7, [])])
     assert owner.leading == 3
     rows = []
     peers = Peers(settings, None, lambda: 9.0, dict, None, lambda *row: rows.append(row))
     peer = SimpleNamespace(answered=0.0)
     word = {"boot": "x", "epoch": 4, "leading": True, "store_age": 0.1}
     word |= {"hears": {}, "counts": {}, "cancels": []}
-    word |= {"view": cm.view_value(cm.View(4, "b", ["b"], 12)), "view_rev": 12}
+    word |= {"view": sk.view_value(sk.View(4, "b", ["b"], 12)), "view_rev": 12}
     peers._heard(peer, word, 8.9)
-    owner.work([cm.InboxRows([(cm.VIEW, *row)]) for row in rows])
+    owner.work([cm.InboxRows([(sk.VIEW, *row)]) for row in rows])
     assert owner.leading == 0 and (owner.inbox.view.epoch, owner.inbox.view.leader) == (4, "b")
 
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -10,8 +10,9 @@
 from coveflow.daemon import commands as cm
 from coveflow.daemon import owner as o
 from coveflow.daemon.front import Front
-from coveflow.daemon.peers import Peers
+from coveflow.membership.peers import Peers
 from coveflow.net.http import Unavailable
+from coveflow.state import keys as sk
 from coveflow.state.store import Conflict
 from tests.samples import spec
 from tests.world import node_settings
@@ -55,8 +56,8 @@
 def know(f: Front, name: str, told: bool = True, cancel: float | None = None) -> None:
     """The store holds the job; this node may have been told of an older state."""
     record = {"spec": msgspec.to_builtins(spec(name)), "at": 0.0, "cancel": cancel}
-    f.store.keys[cm.JOB + name] = (record, 5)
-    f.owner.work([cm.InboxRows([(cm.JOB + name, {**record, "cancel": None}, 5 if told else 4)])])
+    f.store.keys[sk.JOB + name] = (record, 5)
+    f.owner.work([cm.InboxRows([(sk.JOB + name, {**record, "cancel": None}, 5 if told else 4)])])
 
 
 def polls(f: Front, names: list[str]) -> list[str]:
@@ -94,7 +95,7 @@
     f = front()
     know(f, "j-1")
     know(f, "j-2", told=False, cancel=3.0)  # cancelled through another node
-    f.store.keys[cm.OLD + "j-3"] = ({"status": "done", "done": 4}, 7)
+    f.store.keys[sk.OLD + "j-3"] = ({"status": "done", "done": 4}, 7)
     assert polls(f, ["j-1", "j-2", "j-3", "j-4"]) == ["queued", "cancelled", "done", "404"]
     f.store.down = True
     assert polls(f, ["j-1", "j-3", "j-4"]) == ["503", "done", "503"]
@@ -119,10 +120,10 @@
     async def go():
         f = front()
         record = {"spec": msgspec.to_builtins(spec("j-7")), "at": 0.0, "rider": {"team": "blue"}}
-        f.store.keys[cm.JOB + "j-7"] = (record, 5)
+        f.store.keys[sk.JOB + "j-7"] = (record, 5)
         assert await f.status("j-7") is None
         assert (await f.abort("j-7")).status == 404
-        assert f.store.keys[cm.JOB + "j-7"] == (record, 5)
+        assert f.store.keys[sk.JOB + "j-7"] == (record, 5)
         f.owner.inbox.remember_terminal("j-8", {"status": "done", "done": 1, "rider": {}})
         assert await f.status("j-8") is None
 
--- a/tests/test_riders.py
+++ b/tests/test_riders.py
@@ -5,7 +5,7 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from coveflow.daemon import commands as cm
+from coveflow.state import keys as sk
 from coveflow.tes.mapping import final_state
 from tests.samples import spec
 from tests.test_no_repeat import ONCE, lose_a_machine
@@ -21,18 +21,18 @@
 
 def tell(world, job, task, code=0):
     """The task's own word, as `Service.told` commits it; whether it was kept."""
-    row = world.store.get(cm.JOB + job)
+    row = world.store.get(sk.JOB + job)
     if row is None or row.value.get("cancel") is not None:
         return False
     outcome = row.value.get("outcome") or {}
     if str(task) in outcome:
         return False
     value = {**row.value, "outcome": {**outcome, str(task): [code, ""]}}
-    return isinstance(world.write({cm.JOB + job: value}, {cm.JOB + job: row.rev}), int)
+    return isinstance(world.write({sk.JOB + job: value}, {sk.JOB + job: row.rev}), int)
 
 
 def final(world, job):
-    row = world.store.get(cm.OLD + job)
+    row = world.store.get(sk.OLD + job)
     return None if row is None else row.value
 
 
@@ -60,7 +60,7 @@
     lose_a_machine(world)
     # The hold goes with the machine's record; the leader ends before the job's own end.
     held = lambda: any("h/j-000001" in str(r.value) for k, r in world.store.rows.items()  # noqa: E731
-                       if k.startswith(cm.STATE))  # fmt: skip
+                       if k.startswith(sk.STATE))  # fmt: skip
     world.run(60.0, stop=held)
     world.lose_leader(5.0)
     record = play(world, "j-000001", world.now + 60.0)
--- a/tests/test_tes_service.py
+++ b/tests/test_tes_service.py
@@ -7,8 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from coveflow.daemon import commands as cm
 from coveflow.net.http import Unavailable
+from coveflow.state import keys as sk
 from coveflow.tes import documents, ledger
 from coveflow.tes.access import Denied
 from coveflow.tes.ledger import Busy
@@ -73,7 +73,7 @@
         with pytest.raises(Unavailable):
             await a.service.submit(BLUE, body(), "k")
         again = [await n.service.submit(BLUE, body(), "k") for n in (b, a, b)]
-        assert len(set(again)) == 1 and len(keys(a, cm.JOB)) == 1
+        assert len(set(again)) == 1 and len(keys(a, sk.JOB)) == 1
         assert await b.service.submit(GREEN, body(), "k") != again[0]
         with pytest.raises(Refused, match="Idempotency-Key") as refused:
             await a.service.submit(BLUE, body(name="other"), "k")
@@ -103,7 +103,7 @@
             await b.service.submit(BLUE, body(), "k")
         await b.read()
         assert await b.service.submit(BLUE, body(), "k") == first
-        assert len(keys(a, cm.JOB)) == 1
+        assert len(keys(a, sk.JOB)) == 1
 
     run(go())
 
@@ -116,7 +116,7 @@
             await a.service.submit(BLUE, body(), None)
         second = await a.service.submit(BLUE, body(), None)
         found = {t["id"] for t in await listed(a)}
-        assert second in found and len(found) == 2 == len(keys(a, cm.JOB))
+        assert second in found and len(found) == 2 == len(keys(a, sk.JOB))
 
     run(go())
 
@@ -201,7 +201,7 @@
         from tests.samples import spec
 
         record = {"spec": msgspec.to_builtins(spec("j-000001")), "at": 0.0}
-        a.store.model.commit({}, {cm.JOB + "j-000001": (record, None)}, 0.0)
+        a.store.model.commit({}, {sk.JOB + "j-000001": (record, None)}, 0.0)
         a.follow()
         with pytest.raises(NotFound):
             await a.service.get(BLUE, "j-000001", View.MINIMAL)
@@ -230,9 +230,9 @@
                 # The cancel is committed between the look at the record and the word's commit.
                 def cancelled_meanwhile(guards, writes, a=a, b=b, task=task):
                     b.store.between = lambda guards, writes: None
-                    row = a.store.model.get(cm.JOB + task)
+                    row = a.store.model.get(sk.JOB + task)
                     a.store.model.commit(
-                        {}, {cm.JOB + task: ({**row.value, "cancel": 1.0}, None)}, 0.0
+                        {}, {sk.JOB + task: ({**row.value, "cancel": 1.0}, None)}, 0.0
                     )
 
                 b.store.between = cancelled_meanwhile
@@ -399,7 +399,7 @@
         # What is in the newest page stays until that is full.
         assert 0 < len(left) < len(tasks) / 3
         gone = set(tasks) - {t["id"] for t in left}
-        assert not any(a.store.model.get(cm.OLD + t) for t in gone)
+        assert not any(a.store.model.get(sk.OLD + t) for t in gone)
         with pytest.raises(NotFound):
             await b.service.get(BLUE, sorted(gone)[0], View.MINIMAL)
         await a.service.get(BLUE, left[0]["id"], View.FULL)  # its document is there still
@@ -487,7 +487,7 @@
         for _ in range(8):
             await a.collector.round()
         assert len(keys(a, documents.DOC)) <= 2
-        assert a.store.model.get(cm.OLD + task) is None
+        assert a.store.model.get(sk.OLD + task) is None
 
     run(go())
 
@@ -560,12 +560,16 @@
         finals: dict[str, str] = {}
         for n, step in enumerate(steps):
             node = (a, b)[n % 2]
-            live = sorted(k[len(cm.JOB) :] for k in keys(a, cm.JOB))
+            live = sorted(k[len(sk.JOB) :] for k in keys(a, sk.JOB))
             try:
                 if step == "submit":
-                    await asyncio.gather(
-                        *(node.service.submit(BLUE, body(name=f"{n}"), None) for _ in range(3))
+                    # All three end here: one that went on would commit behind the listings' back.
+                    answers = await asyncio.gather(
+                        *(node.service.submit(BLUE, body(name=f"{n}"), None) for _ in range(3)),
+                        return_exceptions=True,
                     )
+                    errors = [e for e in answers if isinstance(e, Exception)]
+                    assert all(isinstance(e, Unavailable | Busy) for e in errors)
                 elif step == "over" and live:
                     node.over(live[0])
                 elif step == "cancel" and live:
@@ -578,7 +582,7 @@
                 elif step == "lose":
                     node.store.lose = 1
                 elif step == "crash":
-                    fresh, _, _ = nodes(retention_h=1.0)
+                    _, fresh, _ = nodes(retention_h=1.0)
                     fresh.store.model, fresh.ledger.clock = a.store.model, clock
                     b = fresh
                     await b.read()
@@ -590,7 +594,7 @@
                 for row in await listed(node):
                     if row["state"] in ("COMPLETE", "CANCELED"):
                         assert finals.setdefault(row["id"], row["state"]) == row["state"]
-        there = {k.rpartition("/")[2] for k in keys(a, cm.JOB) + keys(a, cm.OLD)}
+        there = {k.rpartition("/")[2] for k in keys(a, sk.JOB) + keys(a, sk.OLD)}
         for node in (a, b):
             found = await listed(node, view=View.FULL)
             assert {t.id for t in found} == there
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -8,6 +8,7 @@
 from coveflow.core import placing, planner
 from coveflow.daemon import commands as cm
 from coveflow.daemon.reports import Reports
+from coveflow.state import keys as sk
 from coveflow.state.records import Records
 from coveflow.whatif.world import Reply
 from tests.samples import spec
@@ -235,7 +236,7 @@
     """Two writers take the same oldest slot, so its revision alone would stop most of them."""
 
     def unguarded(txn):
-        for key in [k for k in txn.guards if k == cm.VIEW or k.startswith(cm.SLOT)]:
+        for key in [k for k in txn.guards if k == sk.VIEW or k.startswith(sk.SLOT)]:
             del txn.guards[key]
 
     with pytest.raises(Broken):
@@ -268,9 +269,9 @@
     add_jobs(world, [(6, 1.0, 0)])
     world.run(4.0)
     for key, row in world.store.rows.items():
-        if key.startswith(cm.SLOT):
+        if key.startswith(sk.SLOT):
             items = {
-                item: [*state[:2], "?", *state[3:]] if item.startswith(cm.MACHINE) else state
+                item: [*state[:2], "?", *state[3:]] if item.startswith(sk.MACHINE) else state
                 for item, state in row.value["items"].items()
             }
             row.value = {**row.value, "items": items}
