--- a/coveflow/cli/lab.py
+++ b/coveflow/cli/lab.py
@@ -25,6 +25,7 @@
 
 from coveflow.cli.errors import UserError
 from coveflow.cli.labs import running
+from coveflow.cli.timeline import timeline
 from coveflow.lab import faults as fl
 from coveflow.lab import site as sites
 from coveflow.lab import workload
@@ -73,6 +74,9 @@
     """Stand-in clusters on this machine: state service, cloud, workers, controllers."""
 
 
+lab.add_command(timeline)
+
+
 @lab.command()
 @click.option("--folder", type=click.Path(path_type=Path), help="Keep logs and history there.")
 @click.option("--seed", type=int, default=7, show_default=True)
--- /dev/null
+++ b/coveflow/cli/timeline.py
@@ -0,0 +1,65 @@
+"""`coveflow lab timeline`: what a log says of each fault."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from coveflow.cli.errors import UserError
+from coveflow.lab import timeline as tl
+
+COLUMNS = (
+    "doubt", "verdict", "view", "read", "decision", "first_report", "last_machine", "gap",
+    "left", "lost", "returned",
+)  # fmt: skip
+
+
+@click.command()
+@click.argument("logs", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
+@click.option("--day", metavar="FILE:NAME", help="The site file and day whose faults it had.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def timeline(logs: tuple[Path, ...], day: str | None, as_json: bool) -> None:
+    """For each fault: first doubt, verdict, view, decision, and what it cost.
+
+    LOGS are printouts at `info`, or folders of a lab's logs. Times are s after the fault.
+    """
+    faults: list[tuple[float, str]] = []
+    if day is not None:
+        file, _, name = day.rpartition(":")
+        try:
+            faults = tl.faults_of_day(Path(file), name)
+        except (OSError, ValueError, KeyError) as error:
+            raise UserError(f"--day {day}: {error}") from error
+    events = tl.read(logs)
+    if not events:
+        raise UserError("no line of a controller's log is in there; was LOG_LEVEL error?")
+    told = tl.report(events, faults)
+    if as_json:
+        print(json.dumps(told))
+        return
+    console = Console()
+    table = Table(box=None)
+    for title in ("at", "fault", *COLUMNS):
+        table.add_column(title.replace("_", " "), justify="left" if title == "fault" else "right")
+    for row in told["faults"]:
+        cells = ["" if row[key] is None else f"{row[key]:g}" for key in COLUMNS]
+        table.add_row(f"{row['at']:g}", row["fault"], *cells)
+    console.print(table)
+    shares = Table(box=None)
+    for title in ("class or team", "jobs", "done", "cancelled", "by the deadline"):
+        shares.add_column(title)
+    for name, s in told["served"].items():
+        in_time = f"{s['in_time'] / s['due']:.2f}" if s["due"] else ""
+        live = max(1, s["jobs"] - s["cancelled"])
+        shares.add_row(
+            name, str(s["jobs"]), f"{s['done'] / live:.2f}", str(s["cancelled"]), in_time
+        )
+    console.print(shares)
+    console.print(
+        f"left the view {told['left']} times; {told['lost']} attempts lost to leases;"
+        f" {told['returned']} machines returned as silent"
+    )
--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -21,8 +21,11 @@
 RETRY_S = 0.25  # s; first pause after a failed call, doubled up to RETRY_MAX_S
 RETRY_MAX_S = 2.0  # s; an outage's end is noticed within this
 LEADER_SHARE = 0.6  # part of the store's budgets that the leader may use
-HOLD_LIFE_S = 2.5  # s; a dead member is noticed after this
-HOLD_RENEW_S = 0.6  # s; four renewals fit into a life, so single losses don't matter
+HOLD_LIFE_S = 1.6  # s; a dead member is noticed after this
+HOLD_RENEW_S = 0.4  # s; four renewals fit into a life, so single losses don't matter
+HOLD_TIMEOUT_S = 0.6  # s; two tries of a renewal fit into a life, whatever became of the first
+TURN_S = 0.15  # s each next member in line waits for those before it; a take-over takes less
+TURN_LATE_S = 5.0  # s more for one whose own ways are cut: it leads only if nobody else does
 RIDERS_BYTES = 12 * 1024  # bytes of other interfaces' final records in a transaction; with
 # TXN_BYTES of slots and news of the ends still under the service's 64 KiB
 TXN_BYTES = 48 * 1024  # bytes; transactions stay well under the service's 64 KiB
@@ -56,6 +59,36 @@
 NAME_BYTES = 24  # bytes of a machine's name in a list, with room to spare
 IDLE_ANSWER_PART = 0.6  # part of report_s an idle machine's answer may wait for new work
 
+# --- doubt about nodes -----------------------------------------------------------------
+DOUBT_WINDOW = 100  # intervals kept of a link: about a minute of pings
+DOUBT_FLOOR_S = 0.12  # s; least standard deviation: one lost packet is sent again after 0.2 s
+DOUBT_MOST = 30.0  # level at which more makes no difference
+DOUBT_RAISE = 6.0  # level at which doubt begins: once in a million ordinary intervals
+DOUBT_KEEP = 2.0  # level down to which it stays
+DOUBT_CALM_S = 1.0  # s without its reason before a doubt goes, doubled by each that came back
+DOUBT_CALM_MAX_S = 30.0  # s; the most of it
+DOUBT_FADE_S = 60.0  # s after which one return of a doubt is forgotten
+DOUBT_WORD_S = 2.0  # s for which a node's word of itself counts
+DOUBT_STORE_S = 1.8  # s without store contact; a watch returns once a second
+DOUBT_PACE_S = 0.5  # s by which timers fire late; a full pass at 700 machines takes 0.3 s
+LEAVE_CALM_S = 2.0  # s without its reason before a node that left comes back, doubled each time
+LEAVE_CALM_MAX_S = 60.0  # s; the most of it
+CUT_REPORTS_S = 0.25  # s; least standard deviation of the time between two reports to a node
+CUT_MACHINES = 5  # machines that reported to a node lately, so that silence of all says something
+CUT_STAYS_S = 60.0  # s a node calls itself cut from workers while none comes
+SLOW_TIMES = 10.0  # times later than the best other node that a leader must be to hand over
+SLOW_S = 3.0  # s of it without a break
+SLOW_GAP_S = 30.0  # s between two such hand-overs by one node, doubled while they follow on
+
+# --- reports taken by one node and answered by another ---------------------------------
+CARRY_PACE_S = 0.12  # s between two batches to the leader: each costs both sides a millisecond
+CARRY_POLL_S = 0.25  # s between two looks for answers while there is nothing to send
+CARRY_MOST = 200  # reports in a batch; about 100 KiB
+CARRY_AT_ONCE = 3  # batches under way, so that a slow answer does not stop the next ones
+CARRY_TIMEOUT_S = 1.0  # s; a batch is answered at once or lost
+CARRY_WAIT_S = 3.2  # s a report waits for its answer; its worker gives up after 4
+CARRY_LOST_S = 2.3  # s of doubt about the leader after which its hold would be over if it were gone
+
 # --- machines --------------------------------------------------------------------------
 SILENT_MARGIN_S = 1.5  # s past lease_s before a silent machine is returned
 NOTICE_SILENT_S = 3.0  # s of silence after a spot notice that mean the machine was taken
@@ -77,6 +110,7 @@
 USES_KEPT = 32  # recent jobs' use beside an accelerator, from which free ones keep room
 GUESS_TOLD = 0.05  # part by which a guess must have moved to be told to the trace again
 PASS_PART = 12  # times a pass's own time before the next: planning stays under a tenth
+LEAD_PASS_S = 0.3  # s from a take-over to the first pass: homes carry what waits within 0.1 s
 ARRIVAL_CYCLE_S = 0.5  # s between two full cycles that newly arrived jobs bring forward
 COMMIT_PACE_S = 0.08  # s between two scheduling commits, so that changes share one
 HISTORY_WRITE_S = 20.0  # s between two writes of the histories
--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -11,10 +11,13 @@
 
 from coveflow import constants as c
 from coveflow import wire
+from coveflow.core import routing
 from coveflow.core.model import Order, Report
+from coveflow.core.suspicion import Accrual
 from coveflow.daemon.commands import Heard, Vouched
 from coveflow.daemon.owner import Owner
 from coveflow.logs import Log
+from coveflow.membership.carry import Carried, Carrier, Inlet
 from coveflow.membership.peers import RELAY, Peers
 from coveflow.net.http import Unavailable
 from coveflow.settings import Settings
@@ -30,6 +33,7 @@
 MAIL_EACH_S = 2.0  # s between two mailed reports of one machine that bring nothing new
 MAIL_ALIVE_S = 4.0  # s between two lists of the machines that a cut-off node keeps alive
 MAIL_REPLY_S = 0.6  # s the leader collects answers before it replies
+NODES_S = 0.2  # s between two looks for the nodes that take reports
 RELAY_SPELL_S = 20.0  # s a bounced worker's reports are relayed before a redirect is tried again
 
 
@@ -58,12 +62,22 @@
         self.store = store
         self.posted: dict[str, Posted] = {}
         self.posting: asyncio.Task[None] | None = None
+        self.posting_own: set[asyncio.Task[None]] = set()
+        self.nodes: dict[str, str] = {}
+        self.nodes_at = -1e9
         self.mail_no = 0
         self.vouched_at = -1e9
         self.mailed_at: dict[str, float] = {}
         self.redirected: dict[str, float] = {}
         self.relay_until: dict[str, float] = {}
         self.kept: dict[str, float] = {}  # machines this node keeps alive for the leader
+        self.took: dict[str, float] = {}  # machines whose reports came here
+        self.reports = Accrual(settings.params.workers.report_s, c.CUT_REPORTS_S)
+        self.cut_since: float | None = None
+        self.inlet = Inlet(clock)
+        inbox = owner.inbox
+        self.carrier = Carrier(peers, lambda: inbox.view.leader, lambda: inbox.view.epoch)
+        self.zones = {m.name: m.zone for m in settings.members} | {settings.name: settings.zone}
         self.heard_at = clock()
 
     def may_keep_alive(self) -> bool:
@@ -79,16 +93,140 @@
         except wire.Malformed as error:
             return web.Response(status=400, body=wire.error(str(error)))
         self.heard_at = now = self.clock()
+        self.reports.seen(now)
+        self.cut_since = None
         self.owner.around.meters.add("reports")
         if not self.may_keep_alive():
             return web.Response(status=503)
+        homes = self.owner.around.tuning.homes
+        if homes:
+            home = self._elsewhere(report, now)
+            if home:
+                self.redirected[report.machine] = now
+                self.took.pop(report.machine, None)
+                return web.Response(status=421, body=wire.redirect_answer(home))
+        self.took[report.machine] = now
         if self.owner.leading:
             answer = await self.lead(report)
             if answer is not None:
                 return web.Response(body=answer)
             return web.Response(status=503)
+        if homes:
+            return await self._carried(report, body, now)
         return await self._follow(report, body, now)
 
+    def cut(self) -> bool:
+        """No worker reaches this node any more, though enough of them should."""
+        now = self.clock()
+        if self.cut_since is None:
+            lately = now - self.settings.params.workers.lease_s
+            due = sum(at > lately for at in self.took.values())
+            if due >= c.CUT_MACHINES and self.reports.level(now) >= c.DOUBT_RAISE:
+                self.cut_since = now
+                log.warning("cut from workers", machines=due)
+        return self.cut_since is not None and now - self.cut_since < c.CUT_STAYS_S
+
+    def unheard(self) -> bool:
+        """No report comes any more, as far as the intervals before tell."""
+        return self.reports.level(self.clock()) >= c.DOUBT_RAISE or self.reports.last is None
+
+    # --- homes ---------------------------------------------------------------------------
+
+    def _elsewhere(self, report: Report, now: float) -> str:
+        """The node that should take the machine's reports, if that is another one."""
+        machine = report.machine
+        if now < self.relay_until.get(machine, -1e9):
+            return ""
+        home = routing.home(machine, report.zone, self._nodes(now))
+        if home in ("", self.settings.name):
+            return ""
+        if now - self.redirected.get(machine, -1e9) < c.BOUNCE_S:
+            # It was sent there and came back: it cannot reach its home. It may stay.
+            self.relay_until[machine] = now + RELAY_SPELL_S
+            return ""
+        return home
+
+    def _nodes(self, now: float) -> dict[str, str]:
+        """Nodes that take reports, with their zones: in order, and heard by and hearing the leader.
+
+        Asked for every report, so it is worked out again only a few times a second.
+        """
+        if now - self.nodes_at < NODES_S:
+            return self.nodes
+        inbox, suspicion = self.owner.inbox, self.peers.suspicion
+        leader = inbox.view.leader
+        found: dict[str, str] = {}
+        for name in inbox.members:
+            zone = self.zones.get(name)
+            if zone is None:
+                continue
+            if name != self.settings.name:
+                if not suspicion.trusted(name):
+                    continue
+                word = suspicion.word_of(name, now)
+                if word is None or (
+                    name != leader and word.heard.get(leader, 1e9) > c.PEER_FRESH_S
+                ):
+                    continue
+            found[name] = zone
+        self.nodes, self.nodes_at = found, now
+        return found
+
+    async def _carried(self, report: Report, body: bytes, now: float) -> web.StreamResponse:
+        """To the leader with the next batch; by other ways while that is cut."""
+        machine, suspicion = report.machine, self.peers.suspicion
+        leader = self.owner.inbox.view.leader
+        since = suspicion.silent_since(leader)
+        # Its hold would be over by now if the leader were gone: the way to it is cut.
+        lost = since is not None and now - since > c.CARRY_LOST_S
+        if lost and suspicion.alone(now) and leader in self.owner.inbox.members:
+            # No node is heard here, so it is this node's own ways that are cut, not the leader's.
+            if now - self.redirected.get(machine, -1e9) >= c.BOUNCE_S and (
+                now >= self.relay_until.get(machine, -1e9)
+            ):
+                self.redirected[machine] = now
+                return web.Response(status=421, body=wire.redirect_answer(leader))
+            self.relay_until[machine] = now + RELAY_SPELL_S
+        if not lost:
+            key = (machine, report.tenure, report.counter)
+            answer = await self.carrier.ask(key, body, c.CARRY_WAIT_S)
+            if answer is not None:
+                return web.Response(body=answer)
+            if not self.may_keep_alive():
+                return web.Response(status=503)
+            return self._keep_alive(report, now)
+        if self.store.contact > now - c.PEER_FRESH_S:
+            return await self._by_mail(report, now)
+        return self._keep_alive(report, now)
+
+    def taken_over(self) -> None:
+        """This node leads now: what its own workers wait for, it decides itself."""
+        for one in list(self.carrier.waiting.values()):
+            task = asyncio.get_running_loop().create_task(self._own(one))
+            self.posting_own.add(task)
+            task.add_done_callback(self.posting_own.discard)
+
+    async def _own(self, one: Carried) -> None:
+        answer = await self.lead(wire.read_report(one.body))
+        if not one.future.done() and answer is not None:
+            one.future.set_result(answer)
+
+    async def carried(self, _: str, body: bytes) -> tuple[int, bytes]:
+        """On the leader: a home's batch; the answer brings all that is ready for that home."""
+        if not self.owner.leading or not self.may_keep_alive():
+            return 503, b""
+        try:
+            data = wire.unpack(body)
+        except wire.Malformed:
+            return 400, b""
+        for raw in data["reports"]:
+            report = wire.read_report(raw)
+            key = (report.machine, report.tenure, report.counter)
+            self.owner.put(Heard(report, self.inlet.promise(data["boot"], key)))
+        await asyncio.sleep(0)  # the owner works through them first
+        answers = self.inlet.collect(data["boot"])
+        return 200, wire.pack({"epoch": self.owner.leading, "answers": answers})
+
     async def lead(self, report: Report, patient: bool = True) -> bytes | None:
         reply: asyncio.Future[bytes | None] = asyncio.get_running_loop().create_future()
         self.owner.put(Heard(report, reply, patient))
@@ -130,15 +268,22 @@
                 # No time is left for the mail: the worker would give this node up.
                 return self._keep_alive(report, now)
         if self.store.contact > now - c.PEER_FRESH_S:
-            # The leader may be out of reach only from here: the store still reaches it.
-            # A zone's reports do not all fit into the mail. Those that bring an end do; all
-            # waiting in turn left rooms empty for ten seconds and kept ends from being told.
-            news = any(t.state == "exited" for t in report.tasks)
-            if news or now - self.mailed_at.get(machine, -1e9) >= MAIL_EACH_S:
-                self.mailed_at[machine] = now
-                answer = await self._mailed(machine, report, news)
-                if answer is not None:
-                    return web.Response(body=answer)
+            return await self._by_mail(report, now)
+        return self._keep_alive(report, now)
+
+    async def _by_mail(self, report: Report, now: float) -> web.StreamResponse:
+        """The leader may be out of reach only from here: the store still reaches it.
+
+        A zone's reports do not all fit into the mail. Those that bring an end do; all waiting in
+        turn left rooms empty for ten seconds and kept ends from being told.
+        """
+        machine = report.machine
+        news = any(t.state == "exited" for t in report.tasks)
+        if news or now - self.mailed_at.get(machine, -1e9) >= MAIL_EACH_S:
+            self.mailed_at[machine] = now
+            answer = await self._mailed(machine, report, news)
+            if answer is not None:
+                return web.Response(body=answer)
         return self._keep_alive(report, now)
 
     def _keep_alive(self, report: Report, now: float) -> web.Response:
@@ -246,7 +391,7 @@
         """Ages of the reports this node answered itself, for the leader's silence check."""
         now = self.clock()
         limit = self.settings.params.workers.lease_s
-        for table in (self.kept, self.redirected, self.mailed_at):
+        for table in (self.kept, self.redirected, self.mailed_at, self.took):
             for name in [n for n, at in table.items() if now - at > limit]:
                 del table[name]
         for name in [n for n, until in self.relay_until.items() if now > until + c.BOUNCE_S]:
--- a/coveflow/daemon/book.py
+++ b/coveflow/daemon/book.py
@@ -41,6 +41,7 @@
         self.uses: OrderedDict[scene.Use, None] = OrderedDict()  # of accelerators, by recent jobs
         self.demand: dict[str, demand.Demand] = {}  # for accelerators, by class
         self.machines: dict[str, Machine] = {}
+        self.unheard: set[str] = set()  # machines on record that did not report in this lead
         self.fleet = fleet.Fleet()
         self.predictor = Predictor(tuning.estimators, tuning.decay, tuning.recent)
         # What is to be committed.
@@ -98,6 +99,7 @@
                 cpus=job.spec.cpus,
                 spot=job.spec.spot,
                 team=job.spec.team,
+                due_s=job.spec.deadline_s,
             )
             self.tell("accepted", **self.accepted_fields(job))
         job.rev = max(job.rev, entry.rev)
--- a/coveflow/daemon/inbox.py
+++ b/coveflow/daemon/inbox.py
@@ -50,7 +50,8 @@
     def _row(self, key: str, value: Any, rev: int) -> None:
         if key == VIEW:
             if value is not None and rev > self.view.rev:
-                self.view = View(value["epoch"], value["leader"], value["members"], rev)
+                passed = value.get("passed") or []
+                self.view = View(value["epoch"], value["leader"], value["members"], rev, passed)
                 log.info("view", epoch=self.view.epoch, leader=self.view.leader)
         elif key == TYPES:
             if value is not None and rev > self.types_rev:
--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -14,6 +14,7 @@
 
 from coveflow import constants as c
 from coveflow.core import fleet
+from coveflow.core.suspicion import Slow, Word, succession
 from coveflow.daemon import commands as cm
 from coveflow.daemon import owner as o
 from coveflow.daemon.agents import Agents
@@ -22,7 +23,7 @@
 from coveflow.daemon.tracing import Tracer
 from coveflow.logs import Log
 from coveflow.membership.lead import Membership
-from coveflow.membership.peers import Peers
+from coveflow.membership.peers import CARRY, Peers
 from coveflow.net.cloud import Cloud, NoCapacity
 from coveflow.net.http import Unavailable
 from coveflow.settings import Settings, Tuning, address
@@ -33,18 +34,28 @@
 
 TIMER_S = 0.05  # s between looks at what is due; well below every planning interval
 TICK_S = 0.5  # s between checks of silence, cancellations and late machines
+LOOK_S = 0.1  # s between looks at who is in doubt
+PACE_KEPT = 0.97  # part of its lateness a node still tells after one more timer: half in a second
 LIST_S = 4.0  # s between reads of the cloud's machine list
 PRICES_S = 45.0  # s between reads of the cloud's types, for spot prices
 METERS_S = 10.0  # s between two lines of what the budgets are spent on
-ISOLATED_S = 5.0  # s without any worker or peer that make a node leave the view
+ISOLATED_S = 5.0  # s without any worker or peer that make a node hand over, where none was heard
 
 
 class Node:
-    def __init__(self, settings: Settings, tuning: Tuning) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        tuning: Tuning,
+        session: Any = None,
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        """`session` and the clocks (s) are the lab's where it plays nodes in virtual time."""
         self.settings = settings
-        self.clock, self.wall = time.monotonic, time.time
+        self.clock, self.wall = clock, wall
         params = settings.params
-        self.session = aiohttp.ClientSession(
+        self.session = session or aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30.0),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
@@ -64,7 +75,9 @@
             self.clock,
             self.owner.around.meters,
         )
-        self.membership = Membership(settings, self.store, self.owner, self.clock, self.isolated)
+        self.membership = Membership(
+            settings, self.store, self.owner, self.clock, self.isolated, self.order, self.slow
+        )
         self.peers = Peers(settings, self.session, self.clock, self.info, self.relayed, self.viewed)
         self.agents = Agents(
             settings,
@@ -84,6 +97,10 @@
             self.agents.handle,
         )
         self.peers.asked_of = dict.fromkeys(PATHS, Operators(self.owner).handle)
+        self.peers.asked_of[CARRY] = self.agents.carried
+        self.began = self.clock()
+        self.lateness = Slow()
+        self.pace_s = 0.0  # how late this node's timers fire, fading
         if tuning.trace:
             self.owner.around.trace = Tracer(tuning.trace, self.clock, self.wall, self.peers.boot)
         self.membership.on_contact = self.peers.on_contact
@@ -110,8 +127,20 @@
             "cancels": self.front.recent_cancels(),
             "hears": self.agents.hears(),
             "counts": self.owner.counts if self.owner.leading else {},
+            "word": msgspec.to_builtins(self.word()),
         }
 
+    def word(self) -> Word:
+        """What this node says of itself."""
+        now = self.clock()
+        return Word(
+            pace_s=round(self.pace_s, 3),
+            store_s=round(now - max(self.store.contact, self.began), 3),
+            workers=len(self.agents.took),
+            cut=self.agents.cut(),
+            heard={name: round(age, 3) for name, age in self.peers.suspicion.heard(now).items()},
+        )
+
     def viewed(self, view: dict[str, Any], rev: int) -> None:
         """A peer's view; a newer one counts as if the store had told it."""
         if rev > self.owner.inbox.view.rev:
@@ -122,10 +151,32 @@
 
     def isolated(self) -> bool:
         """It has the store but neither workers nor peers, while others could do better."""
+        now, suspicion = self.clock(), self.peers.suspicion
         others = any(name != self.settings.name for name in self.owner.inbox.members)
-        now = self.clock()
-        quiet = now - max(self.agents.heard_at, self.peers.heard_at) > ISOLATED_S
-        return quiet and others
+        if not others:
+            return False
+        if suspicion.alone(now):
+            return self.agents.unheard()
+        # No peer was ever heard: this process began within the cut, or before the others.
+        quiet = now - max(self.agents.heard_at, self.peers.heard_at)
+        return quiet > ISOLATED_S and not any(map(suspicion.reachable, suspicion.subjects))
+
+    def order(self) -> list[str]:
+        """Members in the order in which they should lead, as far as this node knows."""
+        now, me = self.clock(), self.settings.name
+        members = self.owner.inbox.members
+        return succession(me, self.word(), members, self.peers.suspicion, now)
+
+    def slow(self) -> bool:
+        """Whether this leader is late with everything, while another node is not."""
+        now, suspicion = self.clock(), self.peers.suspicion
+        words = [
+            suspicion.word_of(name, now)
+            for name in self.owner.inbox.members
+            if suspicion.reachable(name)
+        ]
+        best = min((word.pace_s for word in words if word is not None), default=None)
+        return self.lateness.look(now, self.pace_s, best)
 
     # --- effects -----------------------------------------------------------------------
 
@@ -143,6 +194,8 @@
             self._spawn(self.agents.answer_mail(*data), leading=True)
         elif kind == "reply":
             self.agents.replied(data)
+        elif kind == "leading":
+            self.agents.taken_over()
         elif kind == "retake":
             self.membership.retake = True
         elif kind == "stepped_down":
@@ -237,10 +290,16 @@
     # --- loops -------------------------------------------------------------------------
 
     async def _timer(self) -> None:
-        ticked, told = 0.0, self.clock()
+        ticked, looked, told = 0.0, 0.0, self.clock()
         while True:
+            began = self.clock()
             await asyncio.sleep(TIMER_S)
             now = self.clock()
+            late = now - began - TIMER_S
+            self.pace_s = max(late, self.pace_s * PACE_KEPT)
+            if now - looked >= LOOK_S:
+                looked = now
+                self.peers.look()
             if now - told >= METERS_S:
                 log.info(
                     "meters",
@@ -301,6 +360,10 @@
             zone=self.settings.zone,
             front=self.settings.front,
         )
+        await self.work()
+
+    async def work(self) -> None:
+        """Everything a node does by itself, for as long as it runs."""
         loops = [
             self.owner.run(),
             self.membership.run_hold(),
@@ -308,6 +371,7 @@
             self._timer(),
             self._types(),
             self._listing(),
+            self.agents.carrier.run(),
             *(self.peers.run(peer) for peer in self.peers.peers.values()),
             *(loop() for loop in self.loops),
         ]
--- a/coveflow/daemon/owner.py
+++ b/coveflow/daemon/owner.py
@@ -220,8 +220,9 @@
         book.leading, book.rev = command.epoch, command.rev
         log.info("leading", epoch=book.leading, jobs=len(book.jobs), machines=len(book.machines))
         self._trace_lead()
+        self.around.effects("leading", book.leading)
         book.pass_due = True
-        self.planning.next_pass = now + min(1.0, self.around.settings.params.workers.report_s)
+        self.planning.next_pass = now + c.LEAD_PASS_S
 
     def _trace_lead(self) -> None:
         """A recorder starts from here: the deployment, and all that is known by now."""
--- a/coveflow/daemon/reports.py
+++ b/coveflow/daemon/reports.py
@@ -29,6 +29,7 @@
         self.params = around.settings.params
         self.due: list[tuple[float, int, str]] = []  # ends of waiting, a heap
         self.due_no = itertools.count()
+        self.any_heard = False
 
     # --- evidence ----------------------------------------------------------------------
 
@@ -78,6 +79,8 @@
             book.lost(m, "the machine's lease ran out")
             m.tenure = report.tenure
         m.counter, m.epoch, m.heard = report.counter, report.epoch, now
+        if book.unheard:
+            self._first_heard(m.id, now)
         if report.notice_s is not None:
             ends = now + report.notice_s
             if m.ends_at is None:
@@ -88,6 +91,17 @@
         self._drain(m, now)
         self._answer_or_hold(m, report, reply, news, now, command.patient)
 
+    def _first_heard(self, machine: str, now: float) -> None:
+        """For the log: from when on this lead hears its fleet."""
+        book = self.book
+        if not self.any_heard:
+            self.any_heard = True
+            log.info("first report", epoch=book.leading, after_s=now - book.since)
+        book.unheard.discard(machine)
+        book.unheard.intersection_update(book.machines)  # some went back unheard
+        if not book.unheard:
+            log.info("all machines heard", epoch=book.leading, after_s=now - book.since)
+
     def _tasks(self, m: Machine, report: Report, now: float) -> bool:
         """Take in the report's task list; whether it proves any end."""
         news = False
--- a/coveflow/daemon/restore.py
+++ b/coveflow/daemon/restore.py
@@ -57,6 +57,7 @@
         book.fail_held(job)
         if job.over:
             book.dirty_jobs[job.id] = None
+    book.unheard = set(book.machines)
     return history_rev
 
 
--- /dev/null
+++ b/coveflow/lab/timeline.py
@@ -0,0 +1,206 @@
+"""What a log says of each fault: who doubted, who judged, when work went on, what it cost.
+
+Reads the controllers' own lines, from a bench's printout (simulated time and name before each line)
+or from a lab's folder of logs, so the same reader holds for simulated and stand-in machines.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import asdict, dataclass, field
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+WINDOW_S = 60.0  # s after a fault that are told at the most; the next fault ends them
+LEASE = "the machine's lease ran out"
+VAIN = "silent, or work on it does not end"
+
+_SIM = re.compile(r"^\s*(\d+\.\d+) (\S+) (?=\d{4}-)")
+_LINE = re.compile(r"^(\S+ \S+) [A-Z]+ \S+ (.*)$")
+_FIELD = re.compile(r' ([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
+
+
+@dataclass
+class Event:
+    at: float  # s since the log's begin
+    node: str
+    what: str
+    fields: dict[str, str]
+
+
+@dataclass
+class Account:
+    """One fault and what followed; times in s after it, None: it did not happen."""
+
+    at: float
+    fault: str
+    doubt: float | None = None
+    doubts: list[str] = field(default_factory=list)
+    verdict: float | None = None  # a node takes over, or the leader hands over
+    view: float | None = None  # every node that tells of it knows the new view
+    read: float | None = None  # the records are read: somebody leads
+    decision: float | None = None  # its first placement
+    first_report: float | None = None
+    last_machine: float | None = None
+    gap: float = 0.0  # longest time without a placement anywhere
+    left: int = 0  # times a node left the view
+    lost: int = 0  # attempts ended by their leases
+    returned: int = 0  # machines returned as silent
+
+
+@dataclass
+class Share:
+    """A class or a team: jobs taken in, done, cancelled, and done by their deadline."""
+
+    jobs: int = 0
+    done: int = 0
+    cancelled: int = 0
+    due: int = 0
+    in_time: int = 0
+
+
+def read(paths: Iterable[Path]) -> list[Event]:
+    """Events in order of their times. Lines of other programs are passed over."""
+    found: list[Event] = []
+    for path in paths:
+        files = sorted(path.glob("host-*.log")) if path.is_dir() else [path]
+        for file in files:
+            with file.open(encoding="utf-8", errors="replace") as lines:
+                found += _events(lines, file.stem)
+    found.sort(key=lambda event: event.at)
+    if found and found[0].at > 1e8:  # times of day: from the first line on
+        began = found[0].at
+        for event in found:
+            event.at -= began
+    return found
+
+
+def _events(lines: Iterable[str], name: str) -> Iterator[Event]:
+    for line in lines:
+        head = _SIM.match(line)
+        match = _LINE.match(line[head.end() :] if head else line)
+        if match is None:
+            continue
+        try:
+            day = datetime.strptime(match[1], "%Y-%m-%d %H:%M:%S,%f").timestamp()
+        except ValueError:
+            continue
+        at, node = (float(head[1]), head[2]) if head else (day, name)
+        text = match[2]
+        fields = {key: value.strip('"') for key, value in _FIELD.findall(text)}
+        yield Event(at, node, _FIELD.sub("", text).strip(), fields)
+
+
+def faults_of_day(path: Path, day: str) -> list[tuple[float, str]]:
+    """Faults of a day of a site file, as (time, kind)."""
+    raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    for row in raw.get("day", []):
+        if row.get("name") == day:
+            return sorted((f["at_s"], _name(f)) for f in row.get("faults", []))
+    raise ValueError(f"{path}: no day is named {day}")
+
+
+def _name(fault: dict[str, Any]) -> str:
+    more = [key for key in ("from_state", "from_workers", "busiest") if fault.get(key)]
+    count = fault.get("count")
+    return " ".join([fault["kind"], *more, *([f"x{count}"] if count else [])])
+
+
+def account(events: list[Event], faults: list[tuple[float, str]]) -> list[Account]:
+    """One account for each fault; without any, for each change of the lead."""
+    if not faults:
+        leads = [e.at for e in events if e.what == "taking over"][1:]
+        faults = [(at - 1e-6, "the lead changes") for at in leads]
+    told: list[Account] = []
+    for i, (at, name) in enumerate(faults):
+        later = [t for t, _ in faults[i + 1 :] if t > at]
+        until = min([at + WINDOW_S, *later[:1]])
+        told.append(_account([e for e in events if at <= e.at < until], at, name, until))
+    return told
+
+
+def _account(events: list[Event], at: float, name: str, until: float) -> Account:
+    a = Account(at, name)
+
+    def once(key: str, event: Event) -> None:
+        if getattr(a, key) is None:
+            setattr(a, key, round(event.at - at, 3))
+
+    placed, leader = at, ""
+    for e in events:
+        if e.what == "doubt":
+            once("doubt", e)
+            a.doubts.append(f"{e.fields.get('node')} {e.fields.get('why')} by {e.node}")
+        elif e.what in ("taking over", "handing over"):
+            once("verdict", e)
+        elif e.what == "view" and a.verdict is not None:
+            a.view = round(e.at - at, 3)
+        elif e.what == "leading":
+            once("read", e)
+            leader = e.node
+        elif e.what == "first report":
+            once("first_report", e)
+        elif e.what == "all machines heard":
+            once("last_machine", e)
+        elif e.what == "leaving the view":
+            a.left += 1
+        elif e.what == "attempt ended":
+            a.lost += e.fields.get("why") == LEASE
+        elif e.what == "machine goes back":
+            # A deposed leader that wakes may wish so; it asks the store first and does not.
+            a.returned += e.fields.get("why") == VAIN and leader in ("", e.node)
+        elif e.what == "tasks placed":
+            a.gap, placed = max(a.gap, e.at - placed), e.at
+            if a.read is not None:
+                once("decision", e)
+    # A day that has no work any more is no gap: only what a placement ended counts.
+    a.gap = round(a.gap, 3)
+    return a
+
+
+def served(events: list[Event]) -> dict[str, Share]:
+    """Shares by class and by team (`team NAME`); jobs still under way count as not done."""
+    jobs: dict[str, Event] = {}
+    ended: dict[str, str] = {}
+    after: dict[str, float] = {}
+    for e in events:
+        job = e.fields.get("job", "")
+        if e.what == "job taken in":
+            jobs.setdefault(job, e)
+        elif e.what == "job over":
+            ended.setdefault(job, e.fields.get("status", ""))
+        elif e.what == "all tasks done":
+            after.setdefault(job, float(e.fields.get("after_s", "inf")))
+    shares: dict[str, Share] = defaultdict(Share)
+    for job, taken in jobs.items():
+        for name in (taken.fields.get("workload", "?"), f"team {taken.fields.get('team', '?')}"):
+            share = shares[name]
+            share.jobs += 1
+            share.done += ended.get(job) == "done"
+            share.cancelled += ended.get(job) == "cancelled"
+            due = taken.fields.get("due_s", "None")
+            if due != "None" and ended.get(job) != "cancelled":
+                share.due += 1
+                share.in_time += after.get(job, float("inf")) <= float(due)
+    return dict(sorted(shares.items()))
+
+
+def report(events: list[Event], faults: list[tuple[float, str]]) -> dict[str, Any]:
+    """All of it, for printing and for programs."""
+    leader, returned = "", 0
+    for e in events:
+        if e.what == "leading":
+            leader = e.node
+        elif e.what == "machine goes back":
+            returned += e.fields.get("why") == VAIN and leader in ("", e.node)
+    return {
+        "faults": [asdict(a) for a in account(events, faults)],
+        "served": {name: asdict(share) for name, share in served(events).items()},
+        "left": sum(e.what == "leaving the view" for e in events),
+        "lost": sum(e.what == "attempt ended" and e.fields.get("why") == LEASE for e in events),
+        "returned": returned,
+    }
--- /dev/null
+++ b/coveflow/lab/virtual.py
@@ -0,0 +1,489 @@
+"""Whole controllers in virtual time: the daemon's own `Node` on a made-up network.
+
+Each host has an event loop of its own on one shared clock, so that one can stand still, end or be
+cut off while the others go on; nothing waits for real time. State service, cloud and workers are
+the lab's stand-ins. What `whatif.world` leaves out is what this is for: pings, holds, watches,
+redirects, batches, timeouts and retries, the very code that notices and hands over.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import heapq
+import itertools
+import os
+import random
+import selectors
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from coveflow import settings as s
+from coveflow import wire
+from coveflow.core.model import Spec
+from coveflow.daemon.node import Node
+from coveflow.lab import serve
+from coveflow.lab import site as sites
+from coveflow.lab.check import Checker
+from coveflow.lab.cloud import Host
+from coveflow.lab.truth import INF
+from coveflow.lab.worker import Attempt, Worker
+from coveflow.wire import far
+
+Handler = Callable[[Any], Awaitable[web.StreamResponse]]
+STATE, CLOUD, FLEET = "state", "cloud", "fleet"  # the hosts that are no controllers
+
+
+class _NoFiles(selectors.SelectSelector):
+    """No file is ever ready, and nobody waits for one."""
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        return []
+
+
+class Loop(asyncio.SelectorEventLoop):
+    """An event loop whose time is the world's; run one turn at a time."""
+
+    def __init__(self, world: World, drift: float = 0.0) -> None:
+        super().__init__(_NoFiles())
+        self.world, self.rate = world, 1.0 + drift
+        self.set_exception_handler(lambda loop, context: None)
+
+    def time(self) -> float:
+        return self.world.now * self.rate
+
+    # What is due is private to asyncio's loops; a stepped loop cannot do without it.
+    def ready(self) -> bool:
+        return bool(self._ready)  # type: ignore[attr-defined]
+
+    def next_at(self) -> float:
+        due = self._scheduled  # type: ignore[attr-defined]
+        while due and due[0]._cancelled:
+            heapq.heappop(due)._scheduled = False
+        return due[0]._when / self.rate if due else INF
+
+    def turn(self) -> None:
+        self.call_soon(self.stop)
+        self.run_forever()
+
+
+@dataclass(eq=False)
+class Place:
+    """A host: its loop, and who answers on its addresses (path prefix is not looked at)."""
+
+    name: str
+    zone: str
+    loop: Loop
+    handlers: dict[str, Handler] = field(default_factory=dict)  # by address
+    alive: bool = True
+    frozen_until: float = 0.0
+    node: Node | None = None
+
+
+@dataclass
+class Cut:
+    """Messages for which `between` holds are held back, refused or reset until then."""
+
+    until: float
+    between: Callable[[Place, Place], bool]
+    mode: str = "hold"
+
+
+class Request:
+    """What handlers ask of aiohttp's request."""
+
+    def __init__(self, method: str, path: str, query: dict[str, str], body: bytes) -> None:
+        self.method, self.path, self.query = method, path, query
+        self.body, self.content_length = body, len(body)
+        self.content = self
+
+    async def read(self) -> bytes:
+        return self.body
+
+    async def iter_any(self) -> Any:
+        yield self.body
+
+
+class Session:
+    """In a client session's place: requests of one host over the made-up network."""
+
+    def __init__(self, world: World, me: Place) -> None:
+        self.world, self.me = world, me
+
+    async def close(self) -> None:
+        pass
+
+    @contextlib.asynccontextmanager
+    async def request(
+        self, method: str, url: str, *, data: bytes | None = None, params: Any = None,
+        timeout: aiohttp.ClientTimeout | None = None, **_: Any,
+    ) -> Any:  # fmt: skip
+        address, _, path = url.removeprefix("http://").partition("/")
+        future = self.me.loop.create_future()
+        request = Request(method, "/" + path, dict(params or {}), data or b"")
+        self.world.send(self.me, address, request, future)
+        async with asyncio.timeout(timeout.total if timeout is not None else None):
+            status, body = await future
+        yield SimpleNamespace(status=status, read=_given(body))
+
+
+def _given(body: bytes) -> Callable[[], Awaitable[bytes]]:
+    async def read() -> bytes:
+        return body
+
+    return read
+
+
+class Fleet(serve.FleetServer):
+    """The cloud and its workers; their requests go over the made-up network."""
+
+    def __init__(self, world: World, site: sites.Site) -> None:
+        self.world = world
+        super().__init__(site, {"nodes": list(world.controllers), "history": os.devnull})
+
+    def note(self, kind: str, at: float, worker: Worker, attempt: Attempt) -> None:
+        self.world.noted(kind, at, worker, attempt)
+
+    async def _boot(self, host: Host) -> None:
+        await asyncio.sleep(max(0.0, host.up - self.world.now))
+        if host.gone < INF or host.failed < INF:
+            return
+        worker = Worker(
+            host.name, host.name, host.flavor, host.zone, host.spot, self.site.limits, self.truth,
+            self.world.now, host.slow, host.fetch_part, self.note,
+        )  # fmt: skip
+        self.pokes[host.name] = asyncio.Event()
+        self.awake[host.name] = asyncio.Event()
+        self.awake[host.name].set()
+        self.workers[host.name] = worker
+        await self._live(worker)
+
+    async def _ask(
+        self, zone: str, node: str, method: str, path: str, body: bytes | None
+    ) -> tuple[int, bytes]:
+        me = self.world.zones[zone]
+        timeout = aiohttp.ClientTimeout(total=serve.ANSWER_S)
+        url = f"http://{node}:80{path}"
+        try:
+            async with Session(self.world, me).request(
+                method, url, data=body, timeout=timeout
+            ) as response:
+                return response.status, await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0, b""
+
+
+class World:
+    """Controllers, state service, cloud and workers; `run` plays it up to a time, in s.
+
+    Raises AssertionError when a rule of the protocol breaks. The same seed gives the same run.
+    """
+
+    def __init__(
+        self,
+        site: sites.Site,
+        zones: dict[str, str],
+        seed: int = 1,
+        tuning: s.Tuning | None = None,
+        latency: tuple[float, float] = (0.0005, 0.002),
+        drifts: dict[str, tuple[float, float]] | None = None,
+    ) -> None:
+        self.site, self.controllers, self.seed = site, zones, seed
+        self.tuning = tuning or s.Tuning()
+        self.random = random.Random(seed)
+        self.latency = latency
+        self.drifts = drifts or {}  # by controller: of its steady clock, and s its day time is off
+        self.now = 0.0
+        self.order = itertools.count()
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.places: dict[str, Place] = {}
+        self.cuts: list[Cut] = []
+        self.kept: set[asyncio.Task[None]] = set()  # what is being served
+        self.slow_store: dict[str, float] = {}  # s added to the store's answers to a node
+        self.told: list[tuple[float, str, dict[str, Any]]] = []
+        self.answers: dict[str, tuple[int, float]] = {}  # job: status of its submission, s it took
+        self.checker = Checker(site.teams, site.limits.cancel_s)
+        fleet_loop = Loop(self)
+        self.zones = {zone: Place(f"workers-{zone}", zone, fleet_loop) for zone in site.zones}
+        with self.virtual():
+            self.state = serve.StateServer(site)
+            self.fleet = Fleet(self, site)
+        for name, handler in ((STATE, None), (CLOUD, self.fleet.serve_cloud)):
+            self.places[name] = Place(name, "", fleet_loop)
+            if handler is not None:
+                self.places[name].handlers["cloud:1"] = handler
+        self.places[FLEET] = Place(FLEET, "", fleet_loop)
+        fleet_loop.create_task(self.state.run())
+        fleet_loop.create_task(self._fleet())
+        for name in zones:
+            self.boot(name)
+
+    async def _fleet(self) -> None:
+        for (flavor, zone, spot), count in self.site.up.items():
+            self.fleet.cloud.begin(flavor, zone, spot, count, self.now)
+        await self.fleet._gang_timer()
+
+    # --- time --------------------------------------------------------------------------
+
+    @contextlib.contextmanager
+    def virtual(self) -> Iterator[None]:
+        """The stand-ins go by the world's clock."""
+        real, serve.clock = serve.clock, lambda: self.now
+        try:
+            yield
+        finally:
+            serve.clock = real
+
+    def at(self, time: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (time, next(self.order), action))
+
+    def run(self, until: float, stop: Callable[[], bool] = lambda: False) -> None:
+        with self.virtual():
+            while not stop():
+                self._settle()
+                at = min([self.events[0][0] if self.events else INF, *self._due()])
+                if at > until:
+                    self.now = until
+                    return
+                self.now = max(self.now, at)
+                while self.events and self.events[0][0] <= self.now:
+                    heapq.heappop(self.events)[2]()
+
+    def close(self) -> None:
+        """End everything that runs; nothing can be played any more."""
+        for place in [*self.places.values(), *self.zones.values()]:
+            self._end(place)
+            place.loop.close()
+
+    def __enter__(self) -> World:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def _end(self, place: Place) -> None:
+        place.alive = False
+        for _ in range(3):  # what a cancelled task still does may take another turn
+            if not place.loop.is_closed():
+                for task in asyncio.all_tasks(place.loop):
+                    task.cancel()
+                place.loop.turn()
+
+    def _loops(self) -> list[Loop]:
+        found = {
+            id(p.loop): p.loop
+            for p in self.places.values()
+            if p.alive and p.frozen_until <= self.now
+        }
+        return list(found.values())
+
+    def _due(self) -> list[float]:
+        thaws = [p.frozen_until for p in self.places.values() if p.frozen_until > self.now]
+        return [loop.next_at() for loop in self._loops()] + thaws
+
+    def _settle(self) -> None:
+        """Turn the loops until none has anything to do at this moment."""
+        busy = True
+        while busy:
+            busy = False
+            for loop in self._loops():
+                if loop.ready() or loop.next_at() <= self.now + 1e-9:
+                    loop.turn()
+                    busy = True
+        if self.checker.broken:
+            first = self.checker.broken[0]
+            raise AssertionError(f"{first.rule}: {first.text} at {first.at:.2f}")
+
+    # --- network -----------------------------------------------------------------------
+
+    def _place(self, address: str) -> Place:
+        host = address.partition(":")[0]
+        return self.places[host]
+
+    def _cut(self, a: Place, b: Place) -> Cut | None:
+        found = [cut for cut in self.cuts if cut.until > self.now and cut.between(a, b)]
+        return max(found, key=lambda cut: cut.until, default=None)
+
+    def _travel(self, a: Place, b: Place, then: Callable[[], None]) -> None:
+        """One way: a held message arrives when the cut is over."""
+        cut = self._cut(a, b)
+        start = cut.until if cut is not None else self.now
+        self.at(start + self.random.uniform(*self.latency), then)
+
+    def send(
+        self, me: Place, address: str, request: Request, future: asyncio.Future[Any]
+    ) -> None:
+        there = self._place(address)
+        cut = self._cut(me, there)
+        if cut is not None and cut.mode != "hold":
+            error = aiohttp.ClientConnectorError(
+                SimpleNamespace(host=address, port=0, ssl=True), OSError("refused")
+            )
+            self._settle_future(me, future, error)
+            return
+        self._travel(me, there, lambda: self._arrive(me, there, address, request, future))
+
+    def _arrive(
+        self, me: Place, there: Place, address: str, request: Request, future: asyncio.Future[Any]
+    ) -> None:
+        there = self.places[there.name]  # it may have been started again
+        if not there.alive:
+            self._lost(me, there, future)
+            return
+        work = self._serve(me, there, address, request, future)
+        there.loop.call_soon(lambda: self._begin(there, work))
+
+    def _begin(self, there: Place, work: Any) -> None:
+        task = there.loop.create_task(work)
+        self.kept.add(task)
+        task.add_done_callback(self.kept.discard)
+
+    async def _serve(
+        self, me: Place, there: Place, address: str, request: Request, future: asyncio.Future[Any]
+    ) -> None:
+        try:
+            if there.name == STATE:
+                if self.slow_store.get(me.name):
+                    await asyncio.sleep(self.slow_store[me.name])
+                response = await self.state.serve(me.name, request)
+            else:
+                response = await there.handlers[address](request)
+            body = response.body if isinstance(response.body, bytes) else b""
+            answer: Any = (response.status, body)
+        except asyncio.CancelledError:
+            self._lost(me, there, future)
+            raise
+        except Exception as error:
+            answer = (500, str(error).encode())
+        self._travel(there, me, lambda: self._settle_future(me, future, answer))
+
+    def _lost(self, me: Place, there: Place, future: asyncio.Future[Any]) -> None:
+        """The other process ended: its host resets the connection."""
+        error = aiohttp.ServerDisconnectedError()
+        self._travel(there, me, lambda: self._settle_future(me, future, error))
+
+    def _settle_future(self, me: Place, future: asyncio.Future[Any], answer: Any) -> None:
+        def settle() -> None:
+            if future.done():
+                return
+            if isinstance(answer, Exception):
+                future.set_exception(answer)
+            else:
+                future.set_result(answer)
+
+        if not future.get_loop().is_closed():
+            future.get_loop().call_soon(settle)
+
+    # --- controllers -------------------------------------------------------------------
+
+    def settings_of(self, name: str) -> s.Settings:
+        site = self.site
+        return s.parse({
+            "host_name": name, "area": self.controllers[name], "front": f"{name}:80",
+            "cluster_listen": f"{name}:81",
+            "members": [
+                {"host_name": other, "area": zone, "address": f"{other}:81"}
+                for other, zone in self.controllers.items() if other != name
+            ],
+            "services": {"cloud": "cloud:1", "state": "state:1"},
+            "params": {
+                "size": len(self.controllers), "zones": site.zones,
+                "teams": [msgspec.to_builtins(team) for team in site.teams],
+                "objectives": site.objectives,
+                "workers": {key.replace("-", "_"): v for key, v in site.workers.items()},
+                "state": {
+                    "rps": site.state["rps"], "write_rps": site.state["write-rps"],
+                    "value_kb": site.state["value-kb"], "txn_ops": int(site.state["txn-ops"]),
+                },
+                "cloud": {"rps": site.cloud["rps"], "list_lag_s": site.cloud["list-lag-s"]},
+            },
+        })  # fmt: skip
+
+    def boot(self, name: str) -> None:
+        drift, off = self.drifts.get(name, (0.0, 0.0))
+        place = Place(name, self.controllers[name], Loop(self, drift))
+        session = Session(self, place)
+        asyncio.set_event_loop(place.loop)
+        node = Node(
+            self.settings_of(name), self.tuning, session=session, clock=place.loop.time,
+            wall=lambda: self.now + off,
+        )  # fmt: skip
+        place.node = node
+        place.handlers = {f"{name}:80": node.front.handle, f"{name}:81": node.peers.handle}
+        self.places[name] = place
+        place.loop.create_task(node.work())
+
+    def node(self, name: str) -> Node:
+        node = self.places[name].node
+        assert node is not None
+        return node
+
+    def leader(self) -> str:
+        """The living node that leads in the highest epoch; "" if none does."""
+        found = [
+            (p.node.owner.leading, name)
+            for name, p in self.places.items()
+            if p.node is not None and p.alive and p.node.owner.leading
+        ]
+        return max(found, default=(0, ""))[1]
+
+    # --- faults ------------------------------------------------------------------------
+
+    def crash(self, name: str, back_s: float) -> None:
+        """The process ends at once; its host resets connections; it starts again later."""
+        self._end(self.places[name])
+        self.at(self.now + back_s, lambda: self.boot(name))
+
+    def freeze(self, name: str, for_s: float) -> None:
+        """It stands still while its clocks run on."""
+        self.places[name].frozen_until = self.now + for_s
+
+    def cut(
+        self, for_s: float, between: Callable[[Place, Place], bool], mode: str = "hold",
+        one_way: bool = False,
+    ) -> None:  # fmt: skip
+        def both(a: Place, b: Place) -> bool:
+            return between(a, b) or (not one_way and between(b, a))
+
+        self.cuts.append(Cut(self.now + for_s, both, mode))
+
+    # --- users -------------------------------------------------------------------------
+
+    def submit(self, spec: Spec, node: str) -> None:
+        """One submission, repeated as the protocol's users do, at the node and then at others."""
+        self.fleet.truth.upload(spec)
+        self.checker.see({"at": self.now, "kind": "submit", "job": spec.id, "spec": spec})
+        self.places[FLEET].loop.create_task(self._submit(spec, node))
+
+    async def _submit(self, spec: Spec, node: str) -> None:
+        names = list(self.controllers)
+        began = self.now
+        body = far.work_body(spec)
+        while self.now - began < 60.0:
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                async with Session(self, self.places[FLEET]).request(
+                    "POST", f"http://{node}:80{wire.WORK}", data=body,
+                    timeout=aiohttp.ClientTimeout(total=5.0),
+                ) as response:  # fmt: skip
+                    self.answers[spec.id] = (response.status, self.now - began)
+                    if response.status in (200, 201):
+                        return
+            node = names[(names.index(node) + 1) % len(names)]
+            await asyncio.sleep(1.0)
+
+    def noted(self, kind: str, at: float, worker: Worker, attempt: Attempt) -> None:
+        row = {
+            "at": at, "kind": kind, "job": attempt.job, "task": attempt.task,
+            "number": attempt.number, "machine": worker.name, "type": worker.flavor.name,
+            "zone": worker.zone, "spot": worker.spot, "why": attempt.why,
+        }  # fmt: skip
+        self.told.append((at, kind, row))
+        if kind != "running":
+            self.checker.see(row)
+
--- a/coveflow/membership/lead.py
+++ b/coveflow/membership/lead.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from coveflow import constants as c
+from coveflow.core.suspicion import Leaving
 from coveflow.logs import Log
 from coveflow.membership.seat import Row, Seat
 from coveflow.net.http import Unavailable
@@ -24,9 +25,16 @@
         seat: Seat,
         clock: Callable[[], float],
         isolated: Callable[[], bool],
+        order: Callable[[], list[str]],
+        slow: Callable[[], bool],
     ) -> None:
         self.settings, self.store, self.seat, self.clock = settings, store, seat, clock
-        self.isolated = isolated
+        self.isolated = isolated  # its ways are cut, while others could do better
+        self.order = order  # members in the order in which they should try to lead
+        self.slow = slow  # it is late with everything, and another is not
+        self.leaving = Leaving()
+        self.led_at = -1e9  # when this node last took the lead
+        self.absent_since: float | None = None  # since when no member leads
         self.known_at = -1e9  # every cancellation committed before this is known here
         self.on_contact: Callable[[], None] = lambda: None
         self.retake = False
@@ -39,15 +47,18 @@
         key = sk.MEMBER + self.settings.name
         while True:
             try:
-                if self.isolated():
-                    # It reaches the store but neither workers nor peers: others must lead.
-                    await self._resign(key)
-                elif self.grant is None:
+                if self.grant is None:
                     grant = await self.store.new_hold(c.HOLD_LIFE_S)
                     await self.store.commit({}, {key: {"zone": self.settings.zone}}, grant)
                     self.grant = grant
                 else:
                     await self.store.renew(self.grant)
+                out = self.leaving.look(self.clock(), self.isolated())
+                if self.seat.leading and out:
+                    # It reaches the store but neither workers nor peers: others must lead.
+                    await self._hand_over("cut off from workers and peers")
+                elif self.seat.leading and self.slow():
+                    await self._hand_over("late with everything")
             except Expired:
                 self.grant = None
                 continue
@@ -57,12 +68,24 @@
                 continue
             await asyncio.sleep(c.HOLD_RENEW_S)
 
-    async def _resign(self, key: str) -> None:
-        if self.grant is None:
+    async def _hand_over(self, why: str) -> None:
+        """Name the next leader, of this node's own accord, if there is one to name.
+
+        The named one raises the epoch itself when it is told, and whoever is alive does if its
+        hold ends first. The guard is the view this node led by, so an old word changes nothing.
+        Nodes that handed on lately are not named: two in trouble would toss the lead to and fro.
+        """
+        seat, me = self.seat, self.settings.name
+        view = seat.view
+        lasted = self.clock() - self.led_at
+        passed = [*(view.passed if lasted < c.DOUBT_FADE_S else []), me]
+        heir = next((name for name in self.order() if name not in passed), None)
+        if heir is None:
             return
-        log.warning("leaving the view", why="cut off from workers and peers")
-        await self.store.commit({}, {key: None})
-        self.grant = None
+        new = sk.View(view.epoch + 1, heir, view.members, 0, passed)
+        log.warning("handing over", to=heir, why=why)
+        rev = await self.store.commit({sk.VIEW: view.rev}, {sk.VIEW: sk.view_value(new)})
+        await self._tell([(sk.VIEW, sk.view_value(new), rev)], None)
 
     # --- the inbox ---------------------------------------------------------------------
 
@@ -76,7 +99,8 @@
                 if self._may_lead():
                     after = await self._take_over()
                 opened = self.clock()
-                after, events, sent = await self.store.watch(sk.INBOX, after, c.WATCH_HOLD_S)
+                hold = c.WATCH_HOLD_S if self.absent_since is None else c.WATCH_PACE_S
+                after, events, sent = await self.store.watch(sk.INBOX, after, hold)
                 await self._tell(events, None)
                 self._contact(sent)
                 pause = c.RETRY_S
@@ -113,7 +137,19 @@
         if seat.leading and not self.retake:
             return False
         leader = seat.view.leader
-        return leader == me or leader not in seat.members
+        if leader == me:
+            return True
+        if leader in seat.members:
+            self.absent_since = None
+            return False
+        # Those before it in line go first; who wakes first once led, whatever it could hear.
+        if self.absent_since is None:
+            self.absent_since = self.clock()
+        order = self.order()
+        wait = c.TURN_S * (order.index(me) if me in order else len(order))
+        if self.leaving.out:
+            wait += c.TURN_LATE_S  # its own ways are, or were just now, cut
+        return self.clock() - self.absent_since >= wait
 
     async def _take_over(self) -> int:
         """Raise the epoch with this node as leader, then load all from the store."""
@@ -123,7 +159,8 @@
         if old.leader and old.leader != me:
             guards[sk.MEMBER + old.leader] = 0
         epoch = old.epoch + 1
-        value = {"epoch": epoch, "leader": me, "members": sorted(seat.members)}
+        passed = old.passed if old.leader == me else []
+        value = sk.view_value(sk.View(epoch, me, sorted(seat.members), 0, passed))
         self.store.set_leading(True)
         try:
             rev = await self.store.sure_commit(guards, {sk.VIEW: value}, self.clock() + 3.0)
@@ -131,7 +168,8 @@
             self.store.set_leading(bool(seat.leading))
             await asyncio.sleep(c.WATCH_PACE_S)
             return await self._list()
-        self.retake = False
+        self.retake, self.absent_since = False, None
+        self.led_at = self.clock()
         log.info("taking over", epoch=epoch)
         await self._tell([(sk.VIEW, value, rev)], None)
         # Whatever an older leader had under way fails on the view from here on, so what is
--- a/coveflow/membership/peers.py
+++ b/coveflow/membership/peers.py
@@ -13,13 +13,14 @@
 
 from coveflow import constants as c
 from coveflow import wire
+from coveflow.core.suspicion import Suspicion
 from coveflow.logs import Log
 from coveflow.net.http import Client, Unavailable
 from coveflow.settings import Member, Settings
 
 log = Log("coveflow.peers")
 
-PING, RELAY = "/ping", "/relay"
+PING, RELAY, CARRY = "/ping", "/relay", "/carry"
 
 
 class Peer(msgspec.Struct, eq=False):
@@ -48,6 +49,9 @@
         self.settings, self.clock, self.info, self.relay = settings, clock, info, relay
         self.on_view = on_view
         self.boot = uuid.uuid4().hex
+        self.suspicion = Suspicion(
+            settings.name, (member.name for member in settings.members), c.PING_S, clock()
+        )
         self.peers = {
             member.name: Peer(member, Client(session, member.address))
             for member in settings.members
@@ -95,6 +99,14 @@
             return -1e9
         return min((p.answered for p in self.peers.values()), default=-1e9)
 
+    def look(self) -> None:
+        """Raise and drop doubts by what came in; each change is told in the log."""
+        for name, doubt, there in self.suspicion.look(self.clock()):
+            if there:
+                log.info("doubt", node=name, why=doubt.why, by=doubt.by)
+            else:
+                log.info("doubt over", node=name, why=doubt.why)
+
     async def run(self, peer: Peer) -> None:
         while True:
             sent = self.clock()
@@ -119,7 +131,9 @@
         peer.counts = data["counts"]
         self.cancelled.update(data["cancels"])
         peer.answered = max(peer.answered, sent)
-        self.heard_at = self.clock()
+        self.heard_at = now = self.clock()
+        self.suspicion.alive(data["name"], now)
+        self.suspicion.said(data["name"], data.get("word") or {}, now)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.method != "POST":
--- a/coveflow/settings.py
+++ b/coveflow/settings.py
@@ -139,6 +139,7 @@
     spare: NotNegative = 0.1
     idle_s: NotNegative = 20.0
     trace: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0  # events kept for a recorder
+    homes: bool = False  # reports go to nodes of the machine's zone, which carry them on
     classes: dict[str, ClassRules] = {}
     tes: Tes | None = None
 
@@ -214,6 +215,9 @@
             continue
         if key in values:
             raise SettingsError(f"{origin}: {key} is given twice")
+        if key == "homes":
+            values[key] = forms.yes(key, words, origin)
+            continue
         values[key] = words if key == "estimators" else forms.one(key, words, origin)
     try:
         tuning = msgspec.convert({**values, "classes": {}}, Tuning)
--- a/coveflow/state/keys.py
+++ b/coveflow/state/keys.py
@@ -31,8 +31,10 @@
     leader: str = ""
     members: list[str] = []
     rev: int = 0
+    passed: list[str] = []  # nodes that handed the lead on in a row, the last one to `leader`
 
 
 def view_value(view: View) -> dict[str, Any]:
     """The record of a view."""
-    return {"epoch": view.epoch, "leader": view.leader, "members": view.members}
+    value = {"epoch": view.epoch, "leader": view.leader, "members": view.members}
+    return value | {"passed": view.passed} if view.passed else value
--- a/coveflow/state/store.py
+++ b/coveflow/state/store.py
@@ -215,7 +215,9 @@
         return wire.read_hold(body)
 
     async def renew(self, grant: int) -> None:
-        status, _ = await self.call("POST", f"{wire.HOLDS}/{grant}/renew")
+        status, _ = await self.call(
+            "POST", f"{wire.HOLDS}/{grant}/renew", timeout_s=c.HOLD_TIMEOUT_S
+        )
         if status == 404:
             raise Expired
         if status != 200:
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -41,6 +41,7 @@
     owner.inbox.view = sk.View(3, "a", ["a", "b"], 1)
     store = Mailbox(answer)
     peers = Peers(settings, None, clock, dict, None)
+    peers.suspicion.began = clock() - 60.0  # it never heard the leader in all that time
     store.agents = Agents(settings, owner, peers, clock, lambda: 100.0, store)
     return store.agents
 
@@ -92,7 +93,7 @@
     rows = []
     peers = Peers(settings, None, lambda: 9.0, dict, None, lambda *row: rows.append(row))
     peer = SimpleNamespace(answered=0.0)
-    word = {"boot": "x", "epoch": 4, "leading": True, "store_age": 0.1}
+    word = {"name": "b", "boot": "x", "epoch": 4, "leading": True, "store_age": 0.1}
     word |= {"hears": {}, "counts": {}, "cancels": []}
     word |= {"view": sk.view_value(sk.View(4, "b", ["b"], 12)), "view_rev": 12}
     peers._heard(peer, word, 8.9)
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,251 @@
+"""Whole controllers and failures in virtual time: who notices, who leads, what it costs."""
+
+import itertools
+import logging
+
+import pytest
+
+from coveflow.lab import site as sites
+from coveflow.lab.virtual import STATE, World
+from coveflow.settings import Tuning
+from tests.samples import spec
+
+LAB = """(lab (seed 1) (zones north south) (controllers 5)
+ (workers (report-s 2.5) (lease-s 15) (gang-wait-s 15) (gang-peer-s 3) (cancel-s 45))
+ (state (rps 400) (write-rps 150) (value-kb 16) (txn-ops 32)) (cloud (rps 10) (list-lag-s 1))
+ (type m8 (cpus 8) (ram-gb 32) (cache-gb 60) (fetch-gb-per-s 2) (price 0.4)
+  (spot-price 0.1) (boot-s 3))
+ (capacity m8 north (ordinary 5) (up 5)) (capacity m8 south (ordinary 5) (up 5))
+ (team blue (cpus 0) (cpus-max 0)) (class tally (team blue)))"""
+ZONES = {"host-0": "north", "host-1": "north", "host-2": "north", "host-3": "south",
+         "host-4": "south"}  # fmt: skip
+FAULT_S = 12.0  # s into the world at which things fail
+
+
+class Lines(logging.Handler):
+    """Events of the controllers' logs, with the world's time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world, self.rows = None, []
+
+    def emit(self, record) -> None:
+        self.rows.append((self.world.now, record.getMessage(), getattr(record, "fields", {})))
+
+    def count(self, event: str, since: float = FAULT_S) -> int:
+        return sum(what == event and at >= since for at, what, _ in self.rows)
+
+
+@pytest.fixture
+def play():
+    """A world with steady work, played up to the fault; the log's lines beside it."""
+    worlds, lines = [], Lines()
+    logger = logging.getLogger("coveflow")
+    level = logger.level
+    logger.addHandler(lines)
+    logger.setLevel(logging.INFO)
+
+    def begin(zones=ZONES, jobs_until=34.0, machines=5, **more) -> World:
+        text = LAB.replace("5) (up 5", f"{machines}) (up {machines}")
+        world = World(sites.parse(text, "test"), zones, tuning=Tuning(homes=True), **more)
+        worlds.append(world)
+        lines.world = world
+        for i in range(int(jobs_until - 3.0)):
+            name, node = f"j-{i:06d}", list(zones)[i % len(zones)]
+            job = spec(name, tasks=14, cpus=1.0, team="blue", workload="tally", expected_s=5.0)
+            world.at(3.0 + i, lambda job=job, node=node: world.submit(job, node))
+        world.run(FAULT_S)
+        assert world.leader()
+        return world, lines
+
+    yield begin
+    logger.removeHandler(lines)
+    logger.setLevel(level)
+    for world in worlds:
+        world.close()
+
+
+def gap(world: World, start: float, end: float) -> float:
+    """Longest time in which no task began to run anywhere."""
+    times = [at for at, kind, _ in world.told if kind == "running" and start <= at < end]
+    times = [start, *times, end]
+    return max(b - a for a, b in itertools.pairwise(times))
+
+
+def lost(world: World) -> int:
+    return sum(kind == "off" and row["why"] != "done" for _, kind, row in world.told)
+
+
+def all_done(world: World) -> bool:
+    rows, _ = world.state.store.list("old/", "", 10**6)
+    done = {key[4:] for key, row in rows if row.value["status"] == "done"}
+    accepted = {job for job, (status, _) in world.answers.items() if status in (200, 201)}
+    return bool(accepted) and accepted <= done
+
+
+def finish(world: World) -> None:
+    """Everything that was accepted comes to its end."""
+    looked = [0.0]
+
+    def over() -> bool:
+        if world.now < looked[0] + 1.0 or world.now < 36.0:
+            return False
+        looked[0] = world.now
+        return all_done(world)
+
+    world.run(120.0, over)
+    assert all_done(world)
+
+
+def workers(place) -> bool:
+    return place.name.startswith("workers")
+
+
+def controller(place) -> bool:
+    return place.name.startswith("host")
+
+
+def frozen(world, leader):
+    world.freeze(leader, 20.0)
+
+
+def crashed(world, leader):
+    world.crash(leader, 8.0)
+
+
+def no_workers(world, leader):
+    world.cut(20.0, lambda a, b: a.name == leader and workers(b))
+
+
+def no_state(world, leader):
+    world.cut(20.0, lambda a, b: a.name == leader and b.name == STATE)
+
+
+def no_peers(world, leader):
+    world.cut(20.0, lambda a, b: a.name == leader and controller(b), "refuse")
+
+
+def only_state(world, leader):
+    world.cut(20.0, lambda a, b: a.name == leader and b.name != STATE)
+
+
+def one_way(world, leader):
+    """What it sends to workers and peers arrives late; what they send arrives."""
+    world.cut(20.0, lambda a, b: a.name == leader and b.name != STATE, one_way=True)
+
+
+def nobody_hears_anybody(world, leader):
+    world.cut(20.0, lambda a, b: controller(a) and controller(b), "refuse")
+
+
+def zones_apart(world, leader):
+    world.cut(20.0, lambda a, b: bool(a.zone and b.zone) and a.zone != b.zone)
+
+
+def late_store(world, leader):
+    world.slow_store[leader] = 0.25
+
+
+def with_the_next(world, leader):
+    world.crash(leader, 8.0)
+    order = world.node(leader).order()
+    world.freeze(next(name for name in order if name != leader), 8.0)
+
+
+# Fault, longest time without a start (s), and whether another node should lead at the end of it.
+# A frozen or crashed leader's hold is 1.6 s; the first run needs a report after that.
+CASES = [
+    (frozen, 2.5, True),
+    (crashed, 2.5, True),
+    (no_workers, 2.5, False),
+    (no_state, 2.5, True),
+    (no_peers, 2.5, False),
+    (only_state, 3.0, True),
+    (one_way, 4.0, True),
+    (nobody_hears_anybody, 3.0, False),
+    (zones_apart, 2.5, False),
+    (late_store, 2.5, False),
+    (with_the_next, 4.0, True),
+]
+
+
+@pytest.mark.parametrize("fault, most_s, moves", CASES, ids=[case[0].__name__ for case in CASES])
+def test_work_goes_on_and_nothing_runs_twice(play, fault, most_s, moves):
+    world, lines = play()
+    leader = world.leader()
+    fault(world, leader)
+    world.run(FAULT_S + 18.0)
+    assert gap(world, FAULT_S, FAULT_S + 16.0) <= most_s
+    assert (world.leader() != leader) is moves
+    assert lines.count("taking over") <= 2
+    assert lines.count("handing over") <= 1  # a node once left 42 times in 50 s
+    finish(world)
+    assert lost(world) == 0
+    assert not [row for row in lines.rows if row[1] == "command failed"]
+
+
+def test_the_leader_in_the_smaller_of_two_zones_apart_goes_on(play):
+    """Both zones reach the store, so nobody has to judge; the far zone's reports go by mail."""
+    world, _ = play()
+    while world.leader() not in ("host-3", "host-4"):
+        world.crash(world.leader(), 3.0)
+        world.run(world.now + 6.0)
+    began = world.now
+    zones_apart(world, world.leader())
+    world.run(began + 18.0)
+    assert gap(world, began, began + 10.0) <= 2.5
+    finish(world)
+    assert lost(world) == 0
+
+
+def test_three_take_overs_within_ten_seconds(play):
+    world, _ = play()
+    for i in range(3):
+        world.at(FAULT_S + 3.3 * i, lambda: world.crash(world.leader(), 8.0))
+    world.run(FAULT_S + 11.0)
+    assert gap(world, FAULT_S, FAULT_S + 11.0) <= 3.0
+    finish(world)
+    assert lost(world) == 0
+
+
+def test_a_rolling_restart_of_all_nodes_in_an_outage_of_the_store(play):
+    world, _ = play()
+    with world.virtual():
+        world.state.down_until = FAULT_S + 10.0
+    for i, name in enumerate(ZONES):
+        world.at(FAULT_S + 1.0 + 2.0 * i, lambda name=name: world.crash(name, 1.5))
+    world.run(FAULT_S + 14.0)
+    assert world.leader()
+    finish(world)
+
+
+def test_a_leader_that_is_late_with_everything_hands_over_and_another_keeps_the_lead(play):
+    world, lines = play()
+    slow = world.leader()
+    for i in range(120):  # it gets a tenth of its time
+        world.at(FAULT_S + i, lambda: world.freeze(slow, 0.9))
+    world.run(FAULT_S + 20.0)
+    assert lines.count("handing over") == 1 and world.leader() not in ("", slow)
+    assert gap(world, FAULT_S, FAULT_S + 18.0) <= 3.0
+    finish(world)
+    assert lost(world) == 0
+
+
+def test_clocks_at_both_ends_of_their_bounds(play):
+    drifts = {"host-0": (0.0005, 1.0), "host-1": (0.0, -1.0), "host-2": (0.0005, -1.0),
+              "host-3": (0.0, 1.0), "host-4": (0.0005, 0.0)}  # fmt: skip
+    world, _ = play(drifts=drifts)
+    frozen(world, world.leader())
+    finish(world)
+    assert lost(world) == 0
+
+
+def test_reports_are_spread_over_the_nodes_of_their_zones(play):
+    world, _ = play(machines=40, jobs_until=20.0)
+    took = {name: len(world.node(name).agents.took) for name in ZONES}
+    assert sum(took.values()) == 80 and min(took.values()) >= 4
+    # All of a crashed node's workers come to the next one at once, and are sent on.
+    world.crash("host-3", 30.0)
+    world.run(FAULT_S + 8.0)
+    assert len(world.node("host-4").agents.took) >= 40
+    assert lost(world) == 0
--- /dev/null
+++ b/tests/test_timeline.py
@@ -0,0 +1,51 @@
+"""Reading logs: what is said of a fault, from a bench's printout and from a lab's folder."""
+
+from coveflow.lab import timeline as tl
+
+LINES = """\
+    9.9000 host-0 2026-09-21 14:13:29,900 INFO coveflow.membership taking over epoch=1
+   10.0000 host-0 2026-09-21 14:13:30,000 INFO coveflow.owner leading epoch=1 jobs=0 machines=0
+   11.0000 host-0 2026-09-21 14:13:31,000 INFO coveflow.owner job taken in job=j-1 tasks=4 \
+workload=tally cpus=2 spot=True team=blue due_s=20
+   11.2000 host-0 2026-09-21 14:13:31,200 INFO coveflow.owner tasks placed job=j-1 tasks=4
+   21.0000 host-1 2026-09-21 14:13:41,000 INFO coveflow.peers doubt node=host-0 why=silent by=host-1
+   21.7000 host-1 2026-09-21 14:13:41,700 INFO coveflow.membership taking over epoch=2
+   21.7500 host-1 2026-09-21 14:13:41,750 INFO coveflow.owner view epoch=2 leader=host-1
+   21.8000 host-1 2026-09-21 14:13:41,800 INFO coveflow.owner leading epoch=2 jobs=1 machines=3
+   21.9000 host-1 2026-09-21 14:13:41,900 INFO coveflow.owner first report epoch=2 after_s=0.1
+   22.5000 host-1 2026-09-21 14:13:42,500 INFO coveflow.owner tasks placed job=j-1 tasks=1
+   23.0000 host-0 2026-09-21 14:13:43,000 INFO coveflow.owner machine goes back machine=n-1 \
+why="silent, or work on it does not end"
+   24.0000 host-1 2026-09-21 14:13:44,000 INFO coveflow.owner attempt ended task=j-1/0 \
+number=1 machine=n-2 why="the machine's lease ran out"
+   25.0000 host-1 2026-09-21 14:13:45,000 INFO coveflow.owner machine goes back machine=n-2 \
+why="silent, or work on it does not end"
+   30.0000 host-1 2026-09-21 14:13:50,000 INFO coveflow.owner all tasks done job=j-1 after_s=19
+   30.1000 host-1 2026-09-21 14:13:50,100 INFO coveflow.owner job over job=j-1 status=done
+Traceback (most recent call last):
+"""
+
+
+def test_a_fault_is_told_from_the_first_doubt_to_the_first_placement(tmp_path):
+    log = tmp_path / "day.log"
+    log.write_text(LINES)
+    told = tl.report(tl.read([log]), [(20.0, "node_crash")])
+    (fault,) = told["faults"]
+    assert (fault["doubt"], fault["verdict"], fault["read"]) == (1.0, 1.7, 1.8)
+    assert (fault["first_report"], fault["decision"], fault["gap"]) == (1.9, 2.5, 2.5)
+    # What a deposed leader wished is not counted: it asked the store and did nothing.
+    assert (fault["lost"], fault["returned"], told["returned"]) == (1, 1, 1)
+    assert told["served"]["tally"] == {
+        "jobs": 1, "done": 1, "cancelled": 0, "due": 1, "in_time": 1,
+    }  # fmt: skip
+
+
+def test_a_labs_folder_is_read_by_its_files(tmp_path):
+    for line in LINES.splitlines():
+        if " host-" in line:
+            name, rest = line.split()[1], line.split(None, 2)[2]
+            with (tmp_path / f"{name}.log").open("a") as log:
+                log.write(rest + "\n")
+    told = tl.report(tl.read([tmp_path]), [])
+    assert [fault["fault"] for fault in told["faults"]] == ["the lead changes"]
+    assert told["faults"][0]["decision"] == 0.8
