--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -142,6 +142,10 @@
     world.cut(20.0, lambda a, b: bool(a.zone and b.zone) and a.zone != b.zone)
 
 
+def very_late_store(world, leader):
+    world.slow_store[leader] = 0.6
+
+
 def late_store(world, leader):
     world.slow_store[leader] = 0.25
 
@@ -165,6 +169,7 @@
     (nobody_hears_anybody, 3.0, False),
     (zones_apart, 2.5, False),
     (late_store, 2.5, False),
+    (very_late_store, 4.0, False),
     (with_the_next, 4.0, True),
 ]
 
