One reader of machines returned, one row of history, one word for silent; dead code out

On the last read of the change: a method and two fields that nobody used, the silence of a node asked for in four places, the lab's history row written out in two files, and the count of machines returned twice with its own track of the leader. The account of a fault now knows the leader from before its window.

--- a/coveflow/core/suspicion.py
+++ b/coveflow/core/suspicion.py
@@ -104,6 +104,11 @@
     flaps: dict[str, float] = {}  # times each reason came back, fading
     flapped: dict[str, float] = {}  # when that was counted last
 
+    @property
+    def silent(self) -> bool:
+        """Whether it is doubted for not being heard here."""
+        return SILENT in self.doubts or LINK in self.doubts
+
 
 class Suspicion:
     """What one node thinks of the others. Memory: a window of intervals per node, nothing else."""
@@ -122,8 +127,7 @@
         """A sign of life of the node: an answered ping, or anything it sent here."""
         subject = self.subjects.get(name)
         if subject is not None:
-            silent = SILENT in subject.doubts or LINK in subject.doubts
-            subject.link.seen(at, ordinary=not silent)
+            subject.link.seen(at, ordinary=not subject.silent)
 
     def said(self, name: str, word: Mapping[str, Any], at: float) -> None:
         """The node's own word; fields of another type are left out rather than believed."""
@@ -167,8 +171,7 @@
         self, name: str, subject: Subject, levels: dict[str, float], now: float
     ) -> dict[str, str]:
         reasons: dict[str, str] = {}
-        silent = SILENT in subject.doubts or LINK in subject.doubts
-        if levels[name] >= (c.DOUBT_KEEP if silent else c.DOUBT_RAISE):
+        if levels[name] >= (c.DOUBT_KEEP if subject.silent else c.DOUBT_RAISE):
             hearer = self._heard_by_another(name, levels, now)
             reasons[LINK if hearer else SILENT] = hearer or self.me
             return reasons  # what it said before is of no use now
@@ -211,9 +214,7 @@
     def reachable(self, name: str) -> bool:
         """Heard here, as far as silence tells; False for one that was never heard."""
         subject = self.subjects.get(name)
-        if subject is None or subject.link.last is None:
-            return False
-        return SILENT not in subject.doubts and LINK not in subject.doubts
+        return subject is not None and subject.link.last is not None and not subject.silent
 
     def trusted(self, name: str) -> bool:
         return self.reachable(name) and not self.doubts(name)
--- a/coveflow/lab/choices.py
+++ b/coveflow/lab/choices.py
@@ -93,7 +93,6 @@
     op: Op
     outcome: Any = None
     applied: bool = False
-    lost: bool = False
 
 
 @dataclass(eq=False)
@@ -178,7 +177,6 @@
         }  # fmt: skip
         self.sent: dict[str, Sent] = {}
         self.late: list[Sent] = []  # given up by their workers, still under way
-        self.reports_at: dict[str, str] = dict.fromkeys(self.workers, names[0])
         self.old: tuple[dict[str, int], bytes] | None = None  # a copy that may arrive again
         self.nodes = {name: self._boot(name) for name in names}
         self.down: list[str] = []
--- a/coveflow/lab/serve.py
+++ b/coveflow/lab/serve.py
@@ -60,6 +60,15 @@
     return web.Response(status=status, body=body, content_type="application/cbor")
 
 
+def noted(kind: str, at: float, worker: Worker, attempt: Attempt) -> dict[str, Any]:
+    """A row of the history: what became of an attempt, and on which machine."""
+    return {
+        "at": at, "kind": kind, "job": attempt.job, "task": attempt.task,
+        "number": attempt.number, "machine": worker.name, "type": worker.flavor.name,
+        "zone": worker.zone, "spot": worker.spot, "why": attempt.why,
+    }  # fmt: skip
+
+
 class StateServer:
     """The state service: one port per controller, so that one of them can be refused alone."""
 
@@ -240,11 +249,7 @@
     # --- history -----------------------------------------------------------------------
 
     def note(self, kind: str, at: float, worker: Worker, attempt: Attempt) -> None:
-        row = {
-            "at": at, "kind": kind, "job": attempt.job, "task": attempt.task,
-            "number": attempt.number, "machine": worker.name, "type": worker.flavor.name,
-            "zone": worker.zone, "spot": worker.spot, "why": attempt.why,
-        }  # fmt: skip
+        row = noted(kind, at, worker, attempt)
         self.history.write(json.dumps(row) + "\n")
         if attempt.job in self.truth.documents:
             if kind == "running":
--- a/coveflow/lab/timeline.py
+++ b/coveflow/lab/timeline.py
@@ -110,27 +110,47 @@
     return " ".join([fault["kind"], *more, *([f"x{count}"] if count else [])])
 
 
+def returned(events: list[Event]) -> list[float]:
+    """When machines were given back as silent by the node that led then.
+
+    A deposed leader that wakes may wish so too; it asks the store first and does not.
+    """
+    leader, found = "", []
+    for e in events:
+        if e.what == "leading":
+            leader = e.node
+        elif (
+            e.what == "machine goes back"
+            and e.fields.get("why") == VAIN
+            and leader in ("", e.node)
+        ):
+            found.append(e.at)
+    return found
+
+
 def account(events: list[Event], faults: list[tuple[float, str]]) -> list[Account]:
     """One account for each fault; without any, for each change of the lead."""
     if not faults:
         leads = [e.at for e in events if e.what == "taking over"][1:]
         faults = [(at - 1e-6, "the lead changes") for at in leads]
     told: list[Account] = []
+    vain = returned(events)
     for i, (at, name) in enumerate(faults):
         later = [t for t, _ in faults[i + 1 :] if t > at]
         until = min([at + WINDOW_S, *later[:1]])
-        told.append(_account([e for e in events if at <= e.at < until], at, name, until))
+        told.append(_account([e for e in events if at <= e.at < until], at, name))
+        told[-1].returned = sum(at <= moment < until for moment in vain)
     return told
 
 
-def _account(events: list[Event], at: float, name: str, until: float) -> Account:
+def _account(events: list[Event], at: float, name: str) -> Account:
     a = Account(at, name)
 
     def once(key: str, event: Event) -> None:
         if getattr(a, key) is None:
             setattr(a, key, round(event.at - at, 3))
 
-    placed, leader = at, ""
+    placed = at
     for e in events:
         if e.what == "doubt":
             once("doubt", e)
@@ -141,7 +161,6 @@
             a.view = round(e.at - at, 3)
         elif e.what == "leading":
             once("read", e)
-            leader = e.node
         elif e.what == "first report":
             once("first_report", e)
         elif e.what == "all machines heard":
@@ -150,9 +169,6 @@
             a.left += 1
         elif e.what == "attempt ended":
             a.lost += e.fields.get("why") == LEASE
-        elif e.what == "machine goes back":
-            # A deposed leader that wakes may wish so; it asks the store first and does not.
-            a.returned += e.fields.get("why") == VAIN and leader in ("", e.node)
         elif e.what == "tasks placed":
             a.gap, placed = max(a.gap, e.at - placed), e.at
             if a.read is not None:
@@ -191,16 +207,10 @@
 
 def report(events: list[Event], faults: list[tuple[float, str]]) -> dict[str, Any]:
     """All of it, for printing and for programs."""
-    leader, returned = "", 0
-    for e in events:
-        if e.what == "leading":
-            leader = e.node
-        elif e.what == "machine goes back":
-            returned += e.fields.get("why") == VAIN and leader in ("", e.node)
     return {
         "faults": [asdict(a) for a in account(events, faults)],
         "served": {name: asdict(share) for name, share in served(events).items()},
         "left": sum(e.what == "leaving the view" for e in events),
         "lost": sum(e.what == "attempt ended" and e.fields.get("why") == LEASE for e in events),
-        "returned": returned,
+        "returned": len(returned(events)),
     }
--- a/coveflow/lab/virtual.py
+++ b/coveflow/lab/virtual.py
@@ -478,11 +478,7 @@
             await asyncio.sleep(1.0)
 
     def noted(self, kind: str, at: float, worker: Worker, attempt: Attempt) -> None:
-        row = {
-            "at": at, "kind": kind, "job": attempt.job, "task": attempt.task,
-            "number": attempt.number, "machine": worker.name, "type": worker.flavor.name,
-            "zone": worker.zone, "spot": worker.spot, "why": attempt.why,
-        }  # fmt: skip
+        row = serve.noted(kind, at, worker, attempt)
         self.told.append((at, kind, row))
         if kind != "running":
             self.checker.see(row)
--- a/coveflow/membership/carry.py
+++ b/coveflow/membership/carry.py
@@ -59,12 +59,6 @@
             if self.waiting.get(key[0]) is mine:
                 del self.waiting[key[0]]
 
-    def give_up(self) -> None:
-        """Nobody can be asked: all that waits is answered by the home itself."""
-        for one in self.waiting.values():
-            if not one.future.done():
-                one.future.set_result(None)
-
     async def run(self) -> None:
         polled = 0.0
         while True:
