--- a/coveflow/core/planner.py
+++ b/coveflow/core/planner.py
@@ -95,7 +95,8 @@
     todo = order(state, inside, tuning, guesses)
     if not todo:
         return result
-    there = survey(state, tuning, guesses, slot_limit, full)
+    least = min(job.spec.cpus for job in todo)
+    there = survey(state, tuning, guesses, slot_limit, full, least)
     first: dict[str, dict[tuple[PoolKey, bool], float]] = {}
     for place, holds in (old_holds or {}).items():
         for held in holds:
--- a/coveflow/core/scene.py
+++ b/coveflow/core/scene.py
@@ -150,24 +150,36 @@
 
 
 def survey(
-    state: State, tuning: Tuning, guesses: dict[str, float], slot_limit: int, future: bool
+    state: State,
+    tuning: Tuning,
+    guesses: dict[str, float],
+    slot_limit: int,
+    future: bool,
+    least: float = 0.0,
 ) -> Field:
-    """Pools and rooms of the machines; with their releases where a future is needed."""
+    """Pools and rooms of the machines; with their releases where a future is needed.
+
+    Without one, machines with fewer free CPUs than `least` are counted and left out: in a full
+    fleet those are nearly all.
+    """
     buckets = max(2, math.ceil(tuning.horizon_s / c.BUCKET_S))
     found = Field({}, flavors=state.flavors)
     jobs = {job.id: job for job in state.jobs} if future else {}
     now, cycle = state.now, tuning.cycle_s
+    least -= EPS
     reserves: dict[str, Use] = {}
     for m in state.machines:
         if not m.up or m.returning or m.draining or m.suspect:
             continue
+        found.total += m.flavor.cpus
+        found.free += m.cpus
+        if not future and m.cpus < least and m.flavor.accelerators <= 0:
+            continue
         reserve = reserves.get(m.flavor.name)
         if reserve is None:
             reserve = reserves[m.flavor.name] = reserve_of(m.flavor, state.uses)
         size = (m.cpus, m.ram_gb, m.accelerators)
         room = Room(m, *size, slot_limit - len(m.placements), size, reserve)
-        found.total += m.flavor.cpus
-        found.free += m.cpus
         if m.ends_at is not None:
             found.leaving.append(room)
             continue
@@ -179,23 +191,37 @@
         if not future:
             continue
         found.steps += 1
-        for p in m.placements.values():
-            job = jobs.get(p.job)
-            if job is None:
-                continue
-            spec = job.spec
-            left = (
-                spec.save_s
-                if p.stopping
-                else remaining(p.since, guesses.get(p.job, 60.0) * m.speed, now, p.overrun, cycle)
-            )
-            bucket = math.ceil(left / c.BUCKET_S - EPS)
-            room.releases.append((bucket, spec.cpus, spec.ram_gb, spec.accelerators))
-        room.releases.sort()
+        room.releases = _releases(m, jobs, guesses, now, cycle)
     _expect(found, state)
     return found
 
 
+def _releases(
+    m: Machine, jobs: dict[str, Job], guesses: dict[str, float], now: float, cycle: float
+) -> list[tuple[int, float, float, float]]:
+    """What falls free in which bucket, in order. Tasks that began together fall free as one."""
+    alike: dict[tuple[str, float | None, int, bool], int] = {}
+    for p in m.placements.values():
+        key = (p.job, p.since, p.overrun, p.stopping)
+        alike[key] = alike.get(key, 0) + 1
+    found = []
+    for (name, since, overrun, stopping), count in alike.items():
+        job = jobs.get(name)
+        if job is None:
+            continue
+        spec = job.spec
+        left = (
+            spec.save_s
+            if stopping
+            else remaining(since, guesses.get(name, 60.0) * m.speed, now, overrun, cycle)
+        )
+        bucket = math.ceil(left / c.BUCKET_S - EPS)
+        amounts = (spec.cpus * count, spec.ram_gb * count, spec.accelerators * count)
+        found.append((bucket, *amounts))
+    found.sort()
+    return found
+
+
 def _expect(there: Field, state: State) -> None:
     """What is still to come: the recent demand for accelerators goes on.
 
--- a/coveflow/core/timeline.py
+++ b/coveflow/core/timeline.py
@@ -95,6 +95,7 @@
         self.holds: list[Hold] = []
         self.units: dict[Size, list[int]] = {}
         self.left: dict[Size, list[int]] = {}  # the same less what is held or started
+        self.stale: dict[Size, tuple[int, int]] = {}  # buckets in which `left` is behind
         # Work with accelerators and work without do not take each other's room: the reserve
         # keeps them apart. Each sees what its own kind holds.
         self.held = {
@@ -110,6 +111,19 @@
         if known is not None:
             return known
         steps = [0] * (self.buckets + 1)
+        if self.reserve == (0.0, 0.0) and size[0] > 0 and size[1] > 0 and size[2] <= 0:
+            self._plain_steps(size, steps)
+        else:
+            self._steps(size, steps)
+        total = 0
+        units = []
+        for step in steps[:-1]:
+            total += step
+            units.append(total)
+        self.units[size] = units
+        return units
+
+    def _steps(self, size: Size, steps: list[int]) -> None:
         for room in self.rooms:
             cpus, ram, acc = room.first
             have = usable(cpus, ram, acc, size, self.reserve)
@@ -122,13 +136,23 @@
                 if got > have:
                     steps[min(bucket, self.buckets)] += got - have
                     have = got
-        total = 0
-        units = []
-        for step in steps[:-1]:
-            total += step
-            units.append(total)
-        self.units[size] = units
-        return units
+
+    def _plain_steps(self, size: Size, steps: list[int]) -> None:
+        """The same where only CPUs and memory count: calls were most of a full pass's time."""
+        need_cpus, need_ram, _ = size
+        for room in self.rooms:
+            cpus, ram, _ = room.first
+            by_cpus, by_ram = (cpus + EPS) // need_cpus, (ram + EPS) // need_ram
+            have = max(0, int(by_cpus if by_cpus < by_ram else by_ram))
+            steps[0] += have
+            for bucket, r_cpus, r_ram, _ in room.releases:
+                cpus += r_cpus
+                ram += r_ram
+                by_cpus, by_ram = (cpus + EPS) // need_cpus, (ram + EPS) // need_ram
+                got = int(by_cpus if by_cpus < by_ram else by_ram)
+                if got > have:
+                    steps[min(bucket, self.buckets)] += got - have
+                    have = got
 
     def available(self, size: Size) -> list[int]:
         """Tasks that fit from each bucket on, beside all that is held."""
@@ -136,6 +160,8 @@
         if known is None:
             known = self.left[size] = list(self._units(size))
             self._subtract(size, known, 0, self.buckets)
+        elif size in self.stale:
+            self._subtract(size, known, *self.stale.pop(size))
         return known
 
     def _subtract(self, size: Size, left: list[int], low: int, high: int) -> None:
@@ -163,9 +189,12 @@
                 change = amount * hold.count
                 for i in range(low, high):
                     table[i] += change
-        for size, left in self.left.items():
+        # Worked out again when asked for: each size is one job's, and most are not asked again.
+        for size in self.left:
             if (size[2] > 0) == kind:
-                self._subtract(size, left, low, high)
+                old = self.stale.get(size)
+                span = (low, high) if old is None else (min(low, old[0]), max(high, old[1]))
+                self.stale[size] = span
 
     def hold(self, hold: Hold) -> None:
         self.holds.append(hold)
