Reports wait for a lead, not for a process; none waits out the calm of a leader just back

Change: what was sent is known by process and epoch; a leader that answered just now is sent batches although it is still doubted.

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -85,6 +85,7 @@
 CARRY_PACE_S = 0.15  # s between two batches to the leader: each costs both sides a millisecond
 CARRY_POLL_S = 0.25  # s between two looks for answers while there is nothing to send
 CARRY_ASKS = 0.7  # part of PING_S after which a batch asks for the leader's word, as a ping would
+CARRY_HEARD_S = 0.8  # s since the leader's last answer in which doubt keeps no batch back
 CARRY_MOST = 200  # reports in a batch; about 100 KiB
 CARRY_AT_ONCE = 3  # batches under way, so that a slow answer does not stop the next ones
 CARRY_TIMEOUT_S = 1.0  # s; a batch is answered at once or lost
--- a/coveflow/membership/carry.py
+++ b/coveflow/membership/carry.py
@@ -23,6 +23,8 @@
 log = Log("coveflow.carry")
 
 Key = tuple[str, int, int]  # machine, tenure and counter of a report
+# The leader's process and the epoch: one that lost the lead and has it again knows of no report.
+Lead = tuple[str, int]
 
 
 class Carried(msgspec.Struct, eq=False):
@@ -31,7 +33,7 @@
     key: Key
     body: bytes
     future: asyncio.Future[bytes | None]
-    sent_to: str = ""  # the leader's process that has it; "": none
+    sent_to: Lead | None = None  # who has it
 
 
 class Carrier:
@@ -66,28 +68,36 @@
                 self.something.clear()
                 await self.something.wait()
             peer = self.peers.get(self.leader())
-            if peer is not None and self.peers.suspicion.reachable(peer.member.name):
-                new = [one for one in self.waiting.values() if one.sent_to != peer.boot]
+            if peer is not None and self._answers(peer):
+                to = (peer.boot, self.epoch())
+                new = [one for one in self.waiting.values() if one.sent_to != to]
                 now = self.peers.clock()
                 if new or now - polled >= c.CARRY_POLL_S:
                     polled = now
                     await self._room()
-                    self._post(peer, new[: c.CARRY_MOST])
+                    self._post(peer, to, new[: c.CARRY_MOST])
             await asyncio.sleep(c.CARRY_PACE_S)
 
+    def _answers(self, peer: Peer) -> bool:
+        """Whether it is heard. Doubt goes a calm later; a leader just back has its old fleet."""
+        return (
+            self.peers.suspicion.reachable(peer.member.name)
+            or self.peers.clock() - peer.answered < c.CARRY_HEARD_S
+        )
+
     async def _room(self) -> None:
         if len(self.posts) >= c.CARRY_AT_ONCE:
             await asyncio.wait(self.posts, return_when=asyncio.FIRST_COMPLETED)
 
-    def _post(self, peer: Peer, batch: list[Carried]) -> None:
+    def _post(self, peer: Peer, to: Lead, batch: list[Carried]) -> None:
         for one in batch:
-            one.sent_to = peer.boot
-        task = asyncio.get_running_loop().create_task(self._carry(peer, batch))
+            one.sent_to = to
+        task = asyncio.get_running_loop().create_task(self._carry(peer, to, batch))
         self.posts.add(task)
         task.add_done_callback(self.posts.discard)
 
-    async def _carry(self, peer: Peer, batch: list[Carried]) -> None:
-        boot, sent = peer.boot, self.peers.clock()
+    async def _carry(self, peer: Peer, to: Lead, batch: list[Carried]) -> None:
+        sent = self.peers.clock()
         ask = sent - peer.answered >= c.PING_S * c.CARRY_ASKS
         body = {"boot": self.peers.boot, "reports": [one.body for one in batch], "ask": ask}
         try:
@@ -103,8 +113,8 @@
         except (Unavailable, wire.Malformed, KeyError, TypeError, ValueError) as error:
             log.debug("batch not taken", leader=peer.member.name, why=error)
             for one in batch:
-                if one.sent_to == boot:
-                    one.sent_to = ""  # a second copy is answered, not believed twice
+                if one.sent_to == to:
+                    one.sent_to = None  # a second copy is answered, not believed twice
 
     def _answered(self, data: dict[str, Any]) -> None:
         if data["epoch"] < self.epoch():
