Controllers back within a fraction of a second: guarded joining, and back-off where one keeps ending

Cause: the users' processes may be back after 0.1 s, before their hold ended. An old process's joining that the store applies late would hang the member key on the dead hold: the node leaves the members when that ends, its own hold lives on, and it never comes back. A leader that keeps ending took its lead again each time, and its workers came back to it each time. Change: joining is guarded by the member key's revision, so the late copy fails; a node that the store's newer word has among no members joins again; the view says which process leads and how often its like came back in a row, and from the second time within a minute it names another node that it hears (after 1 s it leads all the same); peers doubt a node that ended twice, longer each time. Ruled out: deleting the old hold at start (its number is not known to the new process).

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -26,6 +26,8 @@
 HOLD_TIMEOUT_S = 0.3  # s; a new try beats the second copy of a lost packet; a late one still counts
 TURN_S = 0.15  # s each next member in line waits for those before it; a take-over takes less
 TURN_LATE_S = 5.0  # s more for one whose own ways are cut: it leads only if nobody else does
+RETURNS_MOST = 1  # times in a row an ended leader may take its lead again; then it names another
+HEIR_WAIT_S = 1.0  # s it waits to hear one that it could name, and leads after all if none is
 RIDERS_BYTES = 12 * 1024  # bytes of other interfaces' final records in a transaction; with
 # TXN_BYTES of slots and news of the ends still under the service's 64 KiB
 TXN_BYTES = 48 * 1024  # bytes; transactions stay well under the service's 64 KiB
@@ -72,6 +74,7 @@
 DOUBT_WORD_S = 2.0  # s for which a node's word of itself counts
 DOUBT_STORE_S = 1.8  # s without store contact; a watch returns once a second
 DOUBT_PACE_S = 0.5  # s by which timers fire late; a full pass at 700 machines takes 0.3 s
+ENDS_MOST = 1  # ends of a node within DOUBT_FADE_S that raise no doubt: anything ends once
 LEAVE_CALM_S = 2.0  # s without its reason before a node that left comes back, doubled each time
 LEAVE_CALM_MAX_S = 60.0  # s; the most of it
 CUT_REPORTS_S = 0.25  # s; least standard deviation of the time between two reports to a node
--- a/coveflow/core/suspicion.py
+++ b/coveflow/core/suspicion.py
@@ -25,6 +25,7 @@
 STORE = "store"  # by its own word the store does not answer it
 WORKERS = "workers"  # by its own word no worker reaches it, though some should
 PACE = "pace"  # by its own word its timers fire late
+ENDS = "ends"  # its process keeps ending
 
 
 class Accrual:
@@ -100,6 +101,9 @@
     link: Accrual
     word: Word = msgspec.field(default_factory=Word)
     word_at: float = -math.inf
+    boot: str = ""  # the process it was when it was last heard
+    ends: float = 0.0  # processes of it that ended, fading
+    ended_at: float = -math.inf  # when the last of them was noticed
     doubts: dict[str, Doubt] = {}
     flaps: dict[str, float] = {}  # times each reason came back, fading
     flapped: dict[str, float] = {}  # when that was counted last
@@ -129,6 +133,17 @@
         if subject is not None:
             subject.link.seen(at, ordinary=not subject.silent)
 
+    def booted(self, name: str, boot: str, at: float) -> None:
+        """The process that the node is now; another than before shows that that one ended."""
+        subject = self.subjects.get(name)
+        if subject is None or subject.boot == boot:
+            return
+        if subject.boot:
+            faded = (at - subject.ended_at) / c.DOUBT_FADE_S
+            subject.ends = max(0.0, subject.ends - faded) + 1.0
+            subject.ended_at = at
+        subject.boot = boot
+
     def said(self, name: str, word: Mapping[str, Any], at: float) -> None:
         """The node's own word; fields of another type are left out rather than believed."""
         subject = self.subjects.get(name)
@@ -175,6 +190,8 @@
             hearer = self._heard_by_another(name, levels, now)
             reasons[LINK if hearer else SILENT] = hearer or self.me
             return reasons  # what it said before is of no use now
+        if subject.ends > c.ENDS_MOST and now - subject.ended_at < c.DOUBT_CALM_S * subject.ends:
+            reasons[ENDS] = self.me
         if now - subject.word_at < c.DOUBT_WORD_S:
             word, age = subject.word, now - subject.word_at
             if word.store_s + age > c.DOUBT_STORE_S:
@@ -264,7 +281,8 @@
         word = own if name == me else suspicion.word_of(name, now)
         if word is None:
             return (3, 0, 0, name)
-        sick = word.cut + (word.store_s > c.DOUBT_STORE_S) + (word.pace_s > c.DOUBT_PACE_S)
+        ends = ENDS in suspicion.doubts(name)
+        sick = word.cut + ends + (word.store_s > c.DOUBT_STORE_S) + (word.pace_s > c.DOUBT_PACE_S)
         unheard = name != me and not suspicion.reachable(name)
         # Rooms of hearing differ little while reports are spread; only large steps count.
         return (2 if unheard else min(sick, 1), sick, -int(math.log2(word.workers + 1)), name)
--- a/coveflow/daemon/inbox.py
+++ b/coveflow/daemon/inbox.py
@@ -12,7 +12,7 @@
 from coveflow.core.model import Flavor, Spec
 from coveflow.daemon.commands import Accepted, InboxRows, accepted_of
 from coveflow.logs import Log
-from coveflow.state.keys import JOB, MAIL, MEMBER, REPLY, TYPES, VIEW, View
+from coveflow.state.keys import JOB, MAIL, MEMBER, REPLY, TYPES, VIEW, View, view_of
 
 log = Log("coveflow.owner")
 
@@ -50,8 +50,7 @@
     def _row(self, key: str, value: Any, rev: int) -> None:
         if key == VIEW:
             if value is not None and rev > self.view.rev:
-                passed = value.get("passed") or []
-                self.view = View(value["epoch"], value["leader"], value["members"], rev, passed)
+                self.view = view_of(value, rev)
                 log.info("view", epoch=self.view.epoch, leader=self.view.leader)
         elif key == TYPES:
             if value is not None and rev > self.types_rev:
--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -75,9 +75,6 @@
             self.clock,
             self.owner.around.meters,
         )
-        self.membership = Membership(
-            settings, self.store, self.owner, self.clock, self.isolated, self.order, self.slow
-        )
         self.peers = Peers(
             settings,
             self.session,
@@ -87,6 +84,18 @@
             self.viewed,
             lambda: self.owner.inbox.view.leader,
         )
+        self.membership = Membership(
+            settings,
+            self.store,
+            self.owner,
+            self.clock,
+            self.isolated,
+            self.order,
+            self.slow,
+            self.peers.suspicion.reachable,
+            self.wall,
+            self.peers.boot,
+        )
         self.agents = Agents(
             settings,
             self.owner,
--- a/coveflow/lab/choices.py
+++ b/coveflow/lab/choices.py
@@ -201,6 +201,7 @@
         membership = Membership(
             self.settings[name], Calls(), _Seat(owner), lambda: self.now,  # type: ignore[arg-type]
             lambda: False, lambda: sorted(owner.inbox.members), lambda: False,
+            lambda name: False, lambda: self.now, "",
         )  # fmt: skip
         membership.grant = 1
         node = Node(name, owner, membership, self.store.rev)
--- a/coveflow/membership/lead.py
+++ b/coveflow/membership/lead.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from coveflow import constants as c
@@ -27,18 +28,23 @@
         isolated: Callable[[], bool],
         order: Callable[[], list[str]],
         slow: Callable[[], bool],
+        heard: Callable[[str], bool],
+        wall: Callable[[], float],
+        boot: str,
     ) -> None:
         self.settings, self.store, self.seat, self.clock = settings, store, seat, clock
+        self.heard = heard  # whether that node is heard here
+        self.wall, self.boot = wall, boot  # time of day; this process, as peers know it
         self.isolated = isolated  # its ways are cut, while others could do better
         self.order = order  # members in the order in which they should try to lead
         self.slow = slow  # it is late with everything, and another is not
         self.leaving = Leaving()
-        self.led_at = -1e9  # when this node last took the lead
         self.absent_since: float | None = None  # since when no member leads
         self.known_at = -1e9  # every cancellation committed before this is known here
         self.on_contact: Callable[[], None] = lambda: None
         self.retake = False
         self.grant: int | None = None
+        self.joined_at = math.inf  # when its member key was last hung on its own hold
 
     # --- the hold ----------------------------------------------------------------------
 
@@ -48,9 +54,11 @@
         while True:
             try:
                 if self.grant is None:
-                    grant = await self.store.new_hold(c.HOLD_LIFE_S)
-                    await self.store.commit({}, {key: {"zone": self.settings.zone}}, grant)
-                    self.grant = grant
+                    await self._join(key)
+                elif self._left():
+                    log.warning("no longer a member, though its hold lives")
+                    self.grant = None
+                    continue
                 else:
                     await self.store.renew(self.grant)
                 out = self.leaving.look(self.clock(), self.isolated())
@@ -68,6 +76,22 @@
                 continue
             await asyncio.sleep(c.HOLD_RENEW_S)
 
+    async def _join(self, key: str) -> None:
+        """Hang this node's member key on a new hold.
+
+        Guarded by the key's revision: a copy that an earlier process of this name sent, and that
+        the store applies late, would hang it back on that process's hold, and the node would leave
+        the members when that one ends, with its own hold alive for ever.
+        """
+        _, rev = await self.store.get(key)
+        grant = await self.store.new_hold(c.HOLD_LIFE_S)
+        await self.store.commit({key: rev}, {key: {"zone": self.settings.zone}}, grant)
+        self.grant, self.joined_at = grant, self.clock()
+
+    def _left(self) -> bool:
+        """Whether the store's word, newer than this node's joining, has it among no members."""
+        return self.known_at > self.joined_at and self.settings.name not in self.seat.members
+
     async def _hand_over(self, why: str) -> None:
         """Name the next leader, of this node's own accord, if there is one to name.
 
@@ -77,16 +101,21 @@
         """
         seat, me = self.seat, self.settings.name
         view = seat.view
-        lasted = self.clock() - self.led_at
-        passed = [*(view.passed if lasted < c.DOUBT_FADE_S else []), me]
-        heir = next((name for name in self.order() if name not in passed), None)
+        passed = [*(view.passed if self._lately(view) else []), me]
+        heir = self._heir(passed)
         if heir is None:
             return
-        new = sk.View(view.epoch + 1, heir, view.members, 0, passed)
+        new = sk.View(view.epoch + 1, heir, view.members, 0, passed, at=self.wall())
         log.warning("handing over", to=heir, why=why)
         rev = await self.store.commit({sk.VIEW: view.rev}, {sk.VIEW: sk.view_value(new)})
         await self._tell([(sk.VIEW, sk.view_value(new), rev)], None)
 
+    def _heir(self, passed: list[str]) -> str | None:
+        return next((name for name in self.order() if name not in passed), None)
+
+    def _lately(self, view: sk.View) -> bool:
+        return self.wall() - view.at < c.DOUBT_FADE_S
+
     # --- the inbox ---------------------------------------------------------------------
 
     async def run_inbox(self) -> None:
@@ -97,7 +126,10 @@
                 if after is None:
                     after = await self._list()
                 if self._may_lead():
-                    after = await self._take_over()
+                    if self._keeps_ending() and self._heir([self.settings.name]) is not None:
+                        await self._hand_over("ended again and again")
+                    else:
+                        after = await self._take_over()
                 opened = self.clock()
                 hold = c.WATCH_HOLD_S if self.absent_since is None else c.WATCH_PACE_S
                 after, events, sent = await self.store.watch(sk.INBOX, after, hold)
@@ -138,7 +170,7 @@
             return False
         leader = seat.view.leader
         if leader == me:
-            return True
+            return not self._keeps_ending() or self._waited_for_an_heir()
         if leader in seat.members:
             self.absent_since = None
             return False
@@ -151,6 +183,26 @@
             wait += c.TURN_LATE_S  # its own ways are, or were just now, cut
         return self.clock() - self.absent_since >= wait
 
+    def _returned(self) -> int:
+        """Times in a row that a process of this name ended as leader and was back, this one too."""
+        view = self.seat.view
+        if view.leader != self.settings.name or view.boot in ("", self.boot):
+            return 0
+        return 1 + (view.returns if self._lately(view) else 0)
+
+    def _keeps_ending(self) -> bool:
+        """Each return costs all the time to read the records; another node may last longer."""
+        return self._returned() > c.RETURNS_MOST
+
+    def _waited_for_an_heir(self) -> bool:
+        """There is a member to hand over to that is heard here, or none within the time for it."""
+        if self.absent_since is None:
+            self.absent_since = self.clock()
+        others = [name for name in self.order() if name != self.settings.name]
+        if not others or any(map(self.heard, others)):
+            return True
+        return self.clock() - self.absent_since >= c.HEIR_WAIT_S
+
     async def _take_over(self) -> int:
         """Raise the epoch with this node as leader, then load all from the store."""
         seat, me = self.seat, self.settings.name
@@ -160,7 +212,10 @@
             guards[sk.MEMBER + old.leader] = 0
         epoch = old.epoch + 1
         passed = old.passed if old.leader == me else []
-        value = sk.view_value(sk.View(epoch, me, sorted(seat.members), 0, passed))
+        new = sk.View(
+            epoch, me, sorted(seat.members), 0, passed, self.boot, self.wall(), self._returned()
+        )
+        value = sk.view_value(new)
         self.store.set_leading(True)
         try:
             rev = await self.store.sure_commit(guards, {sk.VIEW: value}, self.clock() + 3.0)
@@ -169,7 +224,6 @@
             await asyncio.sleep(c.WATCH_PACE_S)
             return await self._list()
         self.retake, self.absent_since = False, None
-        self.led_at = self.clock()
         log.info("taking over", epoch=epoch)
         await self._tell([(sk.VIEW, value, rev)], None)
         # Whatever an older leader had under way fails on the view from here on, so what is
--- a/coveflow/membership/peers.py
+++ b/coveflow/membership/peers.py
@@ -145,6 +145,7 @@
         peer.answered = max(peer.answered, sent)
         self.heard_at = now = self.clock()
         self.suspicion.alive(data["name"], now)
+        self.suspicion.booted(data["name"], data["boot"], now)
         self.suspicion.said(data["name"], data.get("word") or {}, now)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/coveflow/state/keys.py
+++ b/coveflow/state/keys.py
@@ -32,9 +32,18 @@
     members: list[str] = []
     rev: int = 0
     passed: list[str] = []  # nodes that handed the lead on in a row, the last one to `leader`
+    boot: str = ""  # the leader's process; "": it is only named and has yet to take the lead
+    at: float = 0.0  # time of day of this view, as its writer has it
+    returns: int = 0  # times in a row that the leader ended and took its lead again
 
 
 def view_value(view: View) -> dict[str, Any]:
     """The record of a view."""
     value = {"epoch": view.epoch, "leader": view.leader, "members": view.members}
-    return value | {"passed": view.passed} if view.passed else value
+    more = {"passed": view.passed, "boot": view.boot, "at": view.at, "returns": view.returns}
+    return value | {key: it for key, it in more.items() if it}
+
+
+def view_of(value: dict[str, Any], rev: int) -> View:
+    """The view of a record; what an older node left out is empty."""
+    return msgspec.convert(value | {"rev": rev}, View)
