Nodes that refuse each other send workers to the leader at once; pings without a body nobody read

Pings carried the sender's whole word in the request, which no receiver reads. On a node with no job and no machine the timer looked ten to twenty times a second for what could not be due. Change: a node that all others refuse, while the store answers it, tells its workers to go to the leader, those whose reports wait too; a leader sends none to a node that refuses it. Pings ask with a name only. Four looks a second on a quiet node. Ruled out: mail for all (a zone's reports do not fit into it).

--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -163,7 +163,8 @@
             if zone is None:
                 continue
             if name != self.settings.name:
-                if not suspicion.trusted(name):
+                peer = self.peers.get(name)
+                if not suspicion.trusted(name) or (peer is not None and peer.refuses):
                     continue
                 word = suspicion.word_of(name, now)
                 if word is None or (
@@ -183,20 +184,43 @@
         lost = since is not None and now - since > c.CARRY_LOST_S
         if lost and suspicion.alone(now) and leader in self.owner.inbox.members:
             # No node is heard here, so it is this node's own ways that are cut, not the leader's.
-            if now - self.redirected.get(machine, -1e9) >= c.BOUNCE_S and (
-                now >= self.relay_until.get(machine, -1e9)
-            ):
-                self.redirected[machine] = now
-                return web.Response(status=421, body=wire.redirect_answer(leader))
-            self.relay_until[machine] = now + RELAY_SPELL_S
-        if not lost:
+            return self._to_leader(report, leader, now) or await self._past_leader(report, now)
+        if lost:
+            return await self._past_leader(report, now)
+        answer = None
+        if not self._refused():
             key = (machine, report.tenure, report.counter)
             answer = await self.carrier.ask(key, body, c.CARRY_WAIT_S)
-            if answer is not None:
-                return web.Response(body=answer)
-            if not self.may_keep_alive():
-                return web.Response(status=503)
-            return self._keep_alive(report, now)
+        if answer is not None:
+            return web.Response(body=answer)
+        leader = self.owner.inbox.view.leader
+        if self._refused() and leader in self.owner.inbox.members:
+            # Filters between the nodes refuse at once, and the end of the leader's hold need not be
+            # waited for: nothing started for 6.5 s. If all ended instead, its workers are back here
+            # a second later.
+            sent = self._to_leader(report, leader, now)
+            if sent is not None:
+                return sent
+        if not self.may_keep_alive():
+            return web.Response(status=503)
+        return self._keep_alive(report, now)
+
+    def _refused(self) -> bool:
+        """Whether this node is kept from all others, but not from the store."""
+        return self.peers.refused() and self.store.contact > self.clock() - c.PEER_FRESH_S
+
+    def _to_leader(self, report: Report, leader: str, now: float) -> web.Response | None:
+        """Send the worker to the leader itself; None if it came back from there."""
+        machine = report.machine
+        if now - self.redirected.get(machine, -1e9) >= c.BOUNCE_S and (
+            now >= self.relay_until.get(machine, -1e9)
+        ):
+            self.redirected[machine] = now
+            return web.Response(status=421, body=wire.redirect_answer(leader))
+        self.relay_until[machine] = now + RELAY_SPELL_S
+        return None
+
+    async def _past_leader(self, report: Report, now: float) -> web.Response:
         if self.store.contact > now - c.PEER_FRESH_S:
             return await self._by_mail(report, now)
         return self._keep_alive(report, now)
@@ -273,11 +297,9 @@
             if self.clock() - now > c.RELAY_TIMEOUT_S / 2:
                 # No time is left for the mail: the worker would give this node up.
                 return self._keep_alive(report, now)
-        if self.store.contact > now - c.PEER_FRESH_S:
-            return await self._by_mail(report, now)
-        return self._keep_alive(report, now)
+        return await self._past_leader(report, now)
 
-    async def _by_mail(self, report: Report, now: float) -> web.StreamResponse:
+    async def _by_mail(self, report: Report, now: float) -> web.Response:
         """The leader may be out of reach only from here: the store still reaches it.
 
         A zone's reports do not all fit into the mail. Those that bring an end do; all waiting in
--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -35,6 +35,7 @@
 TIMER_S = 0.05  # s between looks at what is due; well below every planning interval
 TICK_S = 0.5  # s between checks of silence, cancellations and late machines
 LOOK_S = 0.1  # s between looks at who is in doubt
+QUIET_S = 0.25  # s between both on a node with no job and no machine: nothing is due by time alone
 PACE_KEPT = 0.97  # part of its lateness a node still tells after one more timer: half in a second
 LIST_S = 4.0  # s between reads of the cloud's machine list
 PRICES_S = 45.0  # s between reads of the cloud's types, for spot prices
@@ -306,11 +307,18 @@
 
     # --- loops -------------------------------------------------------------------------
 
+    def _pause(self) -> float:
+        """s until the next look: longer where time alone makes nothing due."""
+        owner = self.owner
+        if not (owner.inbox.accepted or owner.book.machines or self.agents.took):
+            return QUIET_S
+        return TIMER_S if owner.leading else LOOK_S  # others have nothing due before
+
     async def _timer(self) -> None:
         ticked, looked, told = 0.0, 0.0, self.clock()
         while True:
             began = self.clock()
-            pause = TIMER_S if self.owner.leading else LOOK_S  # others have nothing due before
+            pause = self._pause()
             await asyncio.sleep(pause)
             now = self.clock()
             late = now - began - pause
--- a/coveflow/membership/carry.py
+++ b/coveflow/membership/carry.py
@@ -18,7 +18,7 @@
 from coveflow import wire
 from coveflow.logs import Log
 from coveflow.membership.peers import CARRY, Peer, Peers
-from coveflow.net.http import Unavailable
+from coveflow.net.http import Refused, Unavailable
 
 log = Log("coveflow.carry")
 
@@ -68,7 +68,9 @@
                 self.something.clear()
                 await self.something.wait()
             peer = self.peers.get(self.leader())
-            if peer is not None and self._answers(peer):
+            if peer is not None and peer.refuses and self.peers.refused():
+                self._give_up()
+            elif peer is not None and self._answers(peer):
                 to = (peer.boot, self.epoch())
                 new = [one for one in self.waiting.values() if one.sent_to != to]
                 now = self.peers.clock()
@@ -78,6 +80,12 @@
                     self._post(peer, to, new[: c.CARRY_MOST])
             await asyncio.sleep(c.CARRY_PACE_S)
 
+    def _give_up(self) -> None:
+        """No way leads to the leader from here: what waits is better told so now."""
+        for one in self.waiting.values():
+            if not one.future.done():
+                one.future.set_result(None)
+
     def _answers(self, peer: Peer) -> bool:
         """Whether it is heard. Doubt goes a calm later; a leader just back has its old fleet."""
         return (
@@ -112,6 +120,7 @@
                 self.peers.heard(peer, data["info"], sent)
         except (Unavailable, wire.Malformed, KeyError, TypeError, ValueError) as error:
             log.debug("batch not taken", leader=peer.member.name, why=error)
+            peer.refuses = isinstance(error, Refused)
             for one in batch:
                 if one.sent_to == to:
                     one.sent_to = None  # a second copy is answered, not believed twice
--- a/coveflow/membership/peers.py
+++ b/coveflow/membership/peers.py
@@ -15,7 +15,7 @@
 from coveflow import wire
 from coveflow.core.suspicion import Suspicion
 from coveflow.logs import Log
-from coveflow.net.http import Client, Unavailable
+from coveflow.net.http import Client, Refused, Unavailable
 from coveflow.settings import Member, Settings
 
 log = Log("coveflow.peers")
@@ -32,6 +32,7 @@
     epoch: int = 0
     leading: bool = False
     store_age: float = 1e9
+    refuses: bool = False  # the last thing sent there was refused, at once
     hears: dict[str, float] = {}
     counts: dict[str, list[int]] = {}
 
@@ -83,6 +84,15 @@
         """Whether every other node answered just now."""
         return all(self.fresh(name) for name in self.peers)
 
+    def refused(self) -> bool:
+        """Whether all other nodes that were ever heard refuse this one, the last time it tried.
+
+        One that ended refuses too, and all may have ended at once; so this is a doubt about one's
+        own ways, and shows nothing about the others.
+        """
+        heard = [peer for peer in self.peers.values() if peer.boot]
+        return bool(heard) and all(peer.refuses for peer in heard)
+
     def store_works(self) -> bool:
         """Whether some reachable peer had an answer from the state service just now."""
         return any(self.fresh(n) and p.store_age < c.PEER_FRESH_S for n, p in self.peers.items())
@@ -110,6 +120,8 @@
                 log.info("doubt over", node=name, why=doubt.why)
 
     async def run(self, peer: Peer) -> None:
+        # Only the answer counts as its word: a request may have been held back on its way.
+        asks = wire.pack({"name": self.settings.name})
         while True:
             sent = self.clock()
             fresh_s = self._every_s(peer.member.name) - (sent - peer.answered)
@@ -119,12 +131,13 @@
                 continue
             try:
                 status, body = await peer.client.request(
-                    "POST", PING, body=wire.pack(self.info()), timeout_s=c.PING_TIMEOUT_S
+                    "POST", PING, body=asks, timeout_s=c.PING_TIMEOUT_S
                 )
                 if status == 200:
                     self.heard(peer, wire.unpack(body), sent)
             except (Unavailable, wire.Malformed, KeyError, TypeError) as error:
                 log.debug("ping failed", peer=peer.member.name, why=error)
+                peer.refuses = isinstance(error, Refused)
             await asyncio.sleep(max(0.05, self._every_s(peer.member.name) - (self.clock() - sent)))
 
     def _every_s(self, name: str) -> float:
@@ -133,7 +146,7 @@
 
     def heard(self, peer: Peer, data: dict[str, Any], sent: float) -> None:
         """The node's word, in answer to what was sent to it then."""
-        peer.boot = data["boot"]
+        peer.boot, peer.refuses = data["boot"], False
         peer.epoch, peer.leading = data["epoch"], data["leading"]
         peer.store_age = data["store_age"]
         # A leader that only the store refuses never learnt that it was deposed: workers stayed
--- a/coveflow/net/http.py
+++ b/coveflow/net/http.py
@@ -12,6 +12,10 @@
     """The other side did not execute the request, or nothing shows that it did."""
 
 
+class Refused(Unavailable):
+    """The host answered that nobody listens there, or that it lets nobody through."""
+
+
 class Unsure(Unavailable):
     """No answer came: the request may have been executed, or may be later."""
 
@@ -72,7 +76,9 @@
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             ) as response:
                 return response.status, await response.read()
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except aiohttp.ClientConnectorError as error:
+            raise Refused(f"{method} {path}: not connected") from error
+        except aiohttp.ConnectionTimeoutError as error:
             raise Unavailable(f"{method} {path}: not connected") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise Unsure(f"{method} {path}: {type(error).__name__}") from error
