--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 test: $(STAMP)
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/lint-imports
-	$(VENV)/bin/python -m pytest -q
+	$(VENV)/bin/python -m pytest -q -n auto --dist loadgroup
 
 clean:
 	rm -rf $(VENV) target build *.egg-info
