--- a/tests/test_tes_lab.py
+++ b/tests/test_tes_lab.py
@@ -33,7 +33,7 @@
 from coveflow.tes.models import FINAL, State
 
 BASE = "/ga4gh/tes/v1"
-pytestmark = pytest.mark.xdist_group("tes-lab")  # one lab for all, whose history the last test reads
+pytestmark = pytest.mark.xdist_group("tes-lab")  # one lab, its history read last
 LAB = """(lab (seed 3) (zones north south) (controllers 3) (restart-s 1)
   (workers (report-s 0.3) (lease-s 4) (gang-wait-s 8) (gang-peer-s 2) (cancel-s 14))
   (state (rps 900) (write-rps 400) (value-kb 8) (txn-ops 24)) (cloud (rps 20) (list-lag-s 0.5))
