Batches of reports are bounded by bytes, submissions that wait by the share of the store

Cause: limits that were constants. 200 reports of machines with 64 CPUs are over 1 MiB, which the HTTP library refuses; the home sent them again and again, and none of its machines was heard (found by reading, with a test). 96 submissions were let wait however many the share of changes can write in 5 s.

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -46,7 +46,9 @@
 GONE_KEPT = 5_000  # machines proven gone that are remembered against their late reports
 
 # --- users -----------------------------------------------------------------------------
-SUBMIT_QUEUE = 96  # submissions that wait for their commit; more would not be written in time
+SUBMIT_WAIT_S = 3.0  # s of this node's share of the store's changes that submissions may wait for;
+# users wait 5 s for an answer
+SUBMIT_LEAST = 8  # submissions that may wait however small the share is
 POLL_QUEUE = 2_000  # polls that wait for the store's word; more are told to come back
 POLL_PACE_S = 0.05  # s between two checks that polls share, so that they leave requests over
 
@@ -89,7 +91,7 @@
 CARRY_POLL_S = 0.25  # s between two looks for answers while there is nothing to send
 CARRY_ASKS = 0.7  # part of PING_S after which a batch asks for the leader's word, as a ping would
 CARRY_HEARD_S = 0.8  # s since the leader's last answer in which doubt keeps no batch back
-CARRY_MOST = 200  # reports in a batch; about 100 KiB
+CARRY_BYTES = 256 * 1024  # bytes of reports in a batch: a quarter of what the HTTP library takes in
 CARRY_AT_ONCE = 3  # batches under way, so that a slow answer does not stop the next ones
 CARRY_TIMEOUT_S = 1.0  # s; a batch is answered at once or lost
 CARRY_WAIT_S = 3.2  # s a report waits for its answer; its worker gives up after 4
--- a/coveflow/daemon/front.py
+++ b/coveflow/daemon/front.py
@@ -143,7 +143,7 @@
 
     async def accept(self, name: str, record: Any) -> bool:
         """Commit with what else is waiting; False when the job is known already."""
-        if len(self.waiting) >= c.SUBMIT_QUEUE:
+        if len(self.waiting) >= max(c.SUBMIT_LEAST, self.store.changes.rate * c.SUBMIT_WAIT_S):
             # More than the budget can write in time: told at once, not held until it fails.
             raise Unavailable("too many submissions")
         future: asyncio.Future[int | None] = asyncio.get_running_loop().create_future()
--- a/coveflow/membership/carry.py
+++ b/coveflow/membership/carry.py
@@ -77,7 +77,7 @@
                 if new or now - polled >= c.CARRY_POLL_S:
                     polled = now
                     await self._room()
-                    self._post(peer, to, new[: c.CARRY_MOST])
+                    self._post(peer, to, _batch(new))
             await asyncio.sleep(c.CARRY_PACE_S)
 
     def _give_up(self) -> None:
@@ -135,6 +135,19 @@
                 one.future.set_result(answer)
 
 
+def _batch(new: list[Carried]) -> list[Carried]:
+    """The first reports that go together: too many bytes at once are refused, again and again.
+
+    A report of a machine with 64 CPUs has several KiB, and 200 of them were over the limit.
+    """
+    size = 0
+    for i, one in enumerate(new):
+        size += len(one.body)
+        if size > c.CARRY_BYTES and i:
+            return new[:i]
+    return new
+
+
 class Promise:
     """What a report's future is to the owner: its answer goes with the home's next batch."""
 
