A zone that is cut off is known as one, and waited for as long as leases there may live

Cause: the keeper knew no zone. Change: core.zones judges a zone by its silence as a whole, with controllers inside that cannot be asked and the others heard. Nothing is rented in a zone that is cut off, and its machines count as no room.

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -97,6 +97,16 @@
 CARRY_WAIT_S = 3.2  # s a report waits for its answer; its worker gives up after 4
 CARRY_LOST_S = 2.3  # s of doubt about the leader after which its hold would be over if it were gone
 
+# --- zones ------------------------------------------------------------------------------
+ZONE_LEAST = 5  # machines heard in a zone, so that the silence of most says something of it
+ZONE_QUIET = 0.7  # part of a zone's machines that are silent when it counts as cut off
+ZONE_HEARD = 0.4  # part of them up to which it counts as heard
+ZONE_QUIET_S = 1.5  # s of silence beside two report intervals: a worker whose controller ended
+# needs one, and a second to find another
+ZONE_RETURN_S = 20.0  # s over which the machines of a zone go back whose leases have all ended
+ZONE_CALM_S = 10.0  # s for which a zone that is heard again counts as returning, doubled each time
+ZONE_CALM_MAX_S = 120.0  # s; the most of it
+
 # --- machines --------------------------------------------------------------------------
 SILENT_MARGIN_S = 1.5  # s past lease_s before a silent machine is returned
 NOTICE_SILENT_S = 3.0  # s of silence after a spot notice that mean the machine was taken
--- a/coveflow/core/fleet.py
+++ b/coveflow/core/fleet.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Callable
+from collections.abc import Set as AbstractSet
 
 import msgspec
 
@@ -134,10 +135,12 @@
         tuning: Tuning,
         settled: bool,
         prompt: Callable[[str], bool] = lambda job: False,
+        shut: AbstractSet[str] = frozenset(),
     ) -> tuple[list[Want], list[str]]:
+        """What to ask for and what to give back; nothing is asked for in zones that are `shut`."""
         by_name = {f.name: f for f in flavors}
         self._needed(now, machines, prompt)
-        wants = self._wants(now, lacks, by_name, machines) if settled else []
+        wants = self._wants(now, lacks, by_name, machines, shut) if settled else []
         returns = self._returns(now, machines, lacks, tuning) if settled else []
         return wants, returns
 
@@ -164,11 +167,12 @@
         lacks: list[Lack],
         flavors: dict[str, Flavor],
         machines: list[Machine],
+        shut: AbstractSet[str],
     ) -> list[Want]:
         coming = [
             virtual(flavors[b.flavor], b.zone, b.spot)
             for b in self.booting.values()
-            if b.flavor in flavors
+            if b.flavor in flavors and b.zone not in shut
         ]
         for want in self.asked.values():
             if want.flavor in flavors:
@@ -191,7 +195,7 @@
             ordinary = lack.urgent or _stranded(spec, machines)
             while left > 0:
                 # A kind whose request is full leaves the rest to the next kind at once.
-                option = self._cheapest(now, spec, ordinary, left, flavors, counts, plain)
+                option = self._cheapest(now, spec, ordinary, left, flavors, counts, plain, shut)
                 if option is None:
                     break
                 flavor, zone, spot = option
@@ -219,6 +223,7 @@
         flavors: dict[str, Flavor],
         counts: dict[tuple[str, str, bool], int],
         plain: bool,
+        shut: AbstractSet[str],
     ) -> tuple[Flavor, str, bool] | None:
         best: tuple[tuple[float, ...], tuple[Flavor, str, bool]] | None = None
         for flavor in flavors.values():
@@ -228,7 +233,7 @@
             if slots <= 0 or (plain and flavor.accelerators > 0):
                 continue
             for zone in flavor.zones:
-                if spec.zone is not None and zone != spec.zone:
+                if zone in shut or (spec.zone is not None and zone != spec.zone):
                     continue
                 for spot in (True, False) if spec.spot else (False,):
                     key = (flavor.name, zone, spot)
--- a/coveflow/daemon/around.py
+++ b/coveflow/daemon/around.py
@@ -26,6 +26,7 @@
     effects: Callable[[str, Any], None] = lambda kind, data: None
     peer_hears: Callable[[str, float], bool] = lambda machine, within: False
     peers_known: Callable[[], bool] = lambda: True
+    peer_fresh: Callable[[str], bool] = lambda name: True  # whether that controller answers
     # Another interface's news of final records: (a number used once, records by job) to the keys
     # that the same transaction writes; None: there is no such interface.
     finals: Callable[[str, dict[str, Any]], dict[str, Any]] | None = None
--- a/coveflow/daemon/keeper.py
+++ b/coveflow/daemon/keeper.py
@@ -7,7 +7,8 @@
 from coveflow import constants as c
 from coveflow.core import scene
 from coveflow.core.fleet import Want
-from coveflow.core.model import Listed
+from coveflow.core.model import Listed, Machine
+from coveflow.core.zones import GONE, Seen, Zones
 from coveflow.daemon.around import Around
 from coveflow.daemon.book import Book
 from coveflow.daemon.commands import Drain
@@ -27,15 +28,20 @@
         self.around, self.inbox, self.book = around, inbox, book
         self.params = around.settings.params
         self.goals = scene.goals_of(self.params.objectives)
+        workers = self.params.workers
+        self.zones = Zones(workers.cancel_s - c.CONTACT_MARGIN_S + c.SILENT_MARGIN_S)
 
     def rent(self, now: float) -> None:
         """Ask for what the last plan lacks, give back what is idle, move what pays to move."""
         book, tuning = self.book, self.around.tuning
         book.fleet_due = False
+        shut = self.zones.cut_off()
+        machines = [m for m in book.machines.values() if m.zone not in shut]
         wants, returns = book.fleet.decide(
             now=now,
-            machines=list(book.machines.values()),
+            machines=machines,
             lacks=book.plan.lacks,
+            shut=shut,
             flavors=list(self.inbox.flavors.values()),
             tuning=tuning,
             # After a take-over, machines that are up already have yet to report.
@@ -49,7 +55,7 @@
             self.give_back(returns, "idle")
         drains = book.fleet.drains(
             now,
-            list(book.machines.values()),
+            machines,
             book.plan.lacks,
             lambda p: scene.remaining(
                 p.since, book.jobs[p.job].guess_s, now, p.overrun, tuning.cycle_s
@@ -92,6 +98,7 @@
 
     def tick(self, now: float) -> None:
         """What time may cause: machines are given back, and nothing else."""
+        self._look_at_zones(now)
         silent = self._silent(now)
         if silent:
             self.give_back(silent, "silent, or work on it does not end")
@@ -121,21 +128,65 @@
             if job.cancelled is not None and job.cancelled < late
         }
         silent: list[str] = []
+        lost: dict[str, list[Machine]] = {}  # silent ones of zones that are gone
         for m in self.book.machines.values():
             if m.returning:
                 continue
-            quiet = now - (m.heard if m.heard > m.vouched else m.vouched)
+            quiet = now - max(m.heard, m.vouched, self.zones.heard_again(m.zone))
             if quiet > c.NOTICE_SILENT_S:  # the shortest of all the patiences below
                 taken = m.ends_at is not None and now > m.ends_at
                 waits = patience if m.counter >= 0 else unheard
-                if (quiet > waits or taken) and not self.around.peer_hears(m.id, workers.lease_s):
-                    silent.append(m.id)
-                    continue
+                late = quiet > waits and not self.zones.put_off(m.zone)
+                if (late or taken) and not self.around.peer_hears(m.id, workers.lease_s):
+                    if not taken and self.zones.get(m.zone).state == GONE:
+                        lost.setdefault(m.zone, []).append(m)
+                    else:
+                        silent.append(m.id)
+                        continue
             # Cancelled work whose end nothing proves must be gone before the user's limit.
             if overdue and any(p.job in overdue for p in m.placements.values()):
                 silent.append(m.id)
+        for name, machines in lost.items():
+            silent += self._of_a_lost_zone(name, machines, set(silent))
         return silent
 
+    def _of_a_lost_zone(self, name: str, machines: list[Machine], chosen: set[str]) -> list[str]:
+        """The next of its machines to go back: those whose work is most worth beginning anew."""
+        zone = self.zones.get(name)
+        jobs = self.book.jobs
+
+        def worth(m: Machine) -> tuple[float, float, str]:
+            due = sum(jobs[p.job].spec.deadline_s is not None for p in m.placements.values())
+            return (-due, m.cpus - m.flavor.cpus, m.id)
+
+        left = [m for m in machines if m.id not in chosen]
+        going = sorted(left, key=worth)[: int(zone.allowance)]
+        zone.allowance -= len(going)
+        return [m.id for m in going]
+
+    def _look_at_zones(self, now: float) -> None:
+        """Judge each zone by who is heard there, and tell of what changed."""
+        seen = {name: Seen() for name in self.params.zones}
+        quiet_s = 2 * self.params.workers.report_s + c.ZONE_QUIET_S
+        for m in self.book.machines.values():
+            if m.returning:
+                continue
+            of = seen.setdefault(m.zone, Seen())
+            heard = max(m.heard, m.vouched)
+            of.machines += 1
+            of.quiet += now - heard > quiet_s
+            of.last = max(of.last, heard)
+        for member in self.around.settings.members:
+            if member.zone in seen and member.name != self.around.settings.name:
+                seen[member.zone].inside += not self.around.peer_fresh(member.name)
+        for name, zone, before in self.zones.look(now, seen):
+            of = seen[name]
+            log.warning(
+                "zone", zone=name, state=zone.state, before=before, silent=of.quiet,
+                machines=of.machines, inside=of.inside, for_s=round(now - zone.cut_at, 1),
+            )  # fmt: skip
+            self.book.fleet_due = True
+
     def gone(self, name: str, why: str) -> None:
         """The cloud answered that the machine and everything on it are gone."""
         book = self.book
--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -125,6 +125,7 @@
         self.owner.around.effects = self.effect
         self.owner.around.peer_hears = self.peers.hears
         self.owner.around.peers_known = self.peers.all_fresh
+        self.owner.around.peer_fresh = self.peers.fresh
         self.tasks: set[asyncio.Task[None]] = set()
         self.lead_tasks: set[asyncio.Task[None]] = set()
         # What another interface does for as long as the node runs.
--- a/tests/whole.py
+++ b/tests/whole.py
@@ -45,14 +45,14 @@
     logger.addHandler(lines)
     logger.setLevel(logging.INFO)
 
-    def begin(zones=ZONES, jobs_until=34.0, machines=5, **more) -> World:
+    def begin(zones=ZONES, jobs_until=34.0, machines=5, run_s=5.0, **more) -> World:
         text = LAB.replace("5) (up 5", f"{machines}) (up {machines}")
         world = World(sites.parse(text, "test"), zones, tuning=Tuning(homes=True), **more)
         worlds.append(world)
         lines.world = world
         for i in range(int(jobs_until - 3.0)):
             name, node = f"j-{i:06d}", list(zones)[i % len(zones)]
-            job = spec(name, tasks=14, cpus=1.0, team="blue", workload="tally", expected_s=5.0)
+            job = spec(name, tasks=14, cpus=1.0, team="blue", workload="tally", expected_s=run_s)
             world.at(3.0 + i, lambda job=job, node=node: world.submit(job, node))
         world.run(FAULT_S)
         assert world.leader()
