--- a/coveflow/cli/timeline.py
+++ b/coveflow/cli/timeline.py
@@ -21,11 +21,14 @@
 @click.command()
 @click.argument("logs", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
 @click.option("--day", metavar="FILE:NAME", help="The site file and day whose faults it had.")
+@click.option("--least", type=float, default=0.0, help="Fail where a class or team is served less.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
-def timeline(logs: tuple[Path, ...], day: str | None, as_json: bool) -> None:
+def timeline(logs: tuple[Path, ...], day: str | None, least: float, as_json: bool) -> None:
     """For each fault: first doubt, verdict, view, decision, and what it cost.
 
-    LOGS are printouts at `info`, or folders of a lab's logs. Times are s after the fault.
+    LOGS are printouts at `info`, or folders of a lab's logs. Times are s after the fault. Served
+    is the part done of what was accepted and not cancelled; started and in time stand beside it.
+    Exit status 1 where a class or a team is served less than `--least`.
     """
     faults: list[tuple[float, str]] = []
     if day is not None:
@@ -38,9 +41,10 @@
     if not events:
         raise UserError("no line of a controller's log is in there; was LOG_LEVEL error?")
     told = tl.report(events, faults)
+    low = [name for name, share in tl.served(events).items() if share.served < least]
     if as_json:
-        print(json.dumps(told))
-        return
+        print(json.dumps(told | {"under_least": low}))
+        raise SystemExit(1 if low else 0)
     console = Console()
     table = Table(box=None)
     for title in ("at", "fault", *COLUMNS):
@@ -50,19 +54,21 @@
         table.add_row(f"{row['at']:g}", row["fault"], *cells)
     console.print(table)
     shares = Table(box=None)
-    for title in ("class or team", "jobs", "done", "cancelled", "by the deadline"):
+    for title in ("class or team", "jobs", "started", "served", "cancelled", "in time"):
         shares.add_column(title)
-    for name, s in told["served"].items():
-        in_time = f"{s['in_time'] / s['due']:.2f}" if s["due"] else ""
-        live = max(1, s["jobs"] - s["cancelled"])
+    for name, s in tl.served(events).items():
         shares.add_row(
-            name, str(s["jobs"]), f"{s['done'] / live:.2f}", str(s["cancelled"]), in_time
-        )
+            name, str(s.jobs), f"{s.started / max(1, s.jobs):.2f}", f"{s.served:.2f}",
+            str(s.cancelled), f"{s.in_time / s.due:.2f}" if s.due else "",
+        )  # fmt: skip
     console.print(shares)
     console.print(
         f"left the view {told['left']} times; {told['lost']} attempts lost to leases;"
         f" {told['returned']} machines returned as silent"
     )
+    if low:
+        console.print(f"served less than {least:g}: {', '.join(low)}")
+        raise SystemExit(1)
 
 
 @click.command()
--- a/coveflow/daemon/book.py
+++ b/coveflow/daemon/book.py
@@ -111,7 +111,9 @@
             job.cancelled, job.failed = entry.cancelled, ""
         if entry.cancelled is not None and job.cancelled is None:
             job.cancelled = entry.cancelled
-            log.info("job cancelled", job=job.id, tasks_to_end=len(job.placed))
+            log.info(
+                "job cancelled", job=job.id, tasks_to_end=len(job.placed), waiting=len(job.free)
+            )
             self.tell("cancelled", job=job.id)
             for p in job.placed.values():
                 self.stop(p, 0.0, "its user cancelled it")
--- a/coveflow/daemon/owner.py
+++ b/coveflow/daemon/owner.py
@@ -218,7 +218,11 @@
             raise
         # Last of all: with a part of its state a leader would start again what it forgot.
         book.leading, book.rev = command.epoch, command.rev
-        log.info("leading", epoch=book.leading, jobs=len(book.jobs), machines=len(book.machines))
+        waiting = sum(len(job.free) for job in book.jobs.values() if job.cancelled is None)
+        log.info(
+            "leading", epoch=book.leading, jobs=len(book.jobs), machines=len(book.machines),
+            waiting=waiting,
+        )  # fmt: skip
         self._trace_lead()
         self.around.effects("leading", book.leading)
         book.pass_due = True
--- a/coveflow/lab/timeline.py
+++ b/coveflow/lab/timeline.py
@@ -46,7 +46,7 @@
     decision: float | None = None  # its first placement
     first_report: float | None = None
     last_machine: float | None = None
-    gap: float = 0.0  # longest time without a placement anywhere
+    gap: float = 0.0  # longest time without a placement anywhere while tasks waited
     left: int = 0  # times a node left the view
     lost: int = 0  # attempts ended by their leases
     returned: int = 0  # machines returned as silent
@@ -54,14 +54,21 @@
 
 @dataclass
 class Share:
-    """A class or a team: jobs taken in, done, cancelled, and done by their deadline."""
+    """A class or a team: jobs taken in, started, done, cancelled, and done by their deadline."""
 
     jobs: int = 0
+    started: int = 0
     done: int = 0
     cancelled: int = 0
     due: int = 0
     in_time: int = 0
 
+    @property
+    def served(self) -> float:
+        """Part done of what was accepted and not cancelled; 1.0 where there was nothing."""
+        live = self.jobs - self.cancelled
+        return self.done / live if live else 1.0
+
 
 def read(paths: Iterable[Path]) -> list[Event]:
     """Events in order of their times. Lines of other programs are passed over."""
@@ -134,15 +141,49 @@
         leads = [e.at for e in events if e.what == "taking over"][1:]
         faults = [(at - 1e-6, "the lead changes") for at in leads]
     told: list[Account] = []
-    vain = returned(events)
+    vain, waits = returned(events), waited(events)
     for i, (at, name) in enumerate(faults):
         later = [t for t, _ in faults[i + 1 :] if t > at]
         until = min([at + WINDOW_S, *later[:1]])
         told.append(_account([e for e in events if at <= e.at < until], at, name))
         told[-1].returned = sum(at <= moment < until for moment in vain)
+        # A day that has no work any more is no gap: only what a placement ended counts.
+        gaps = [moment - max(since, at) for moment, since in waits if at <= moment < until]
+        told[-1].gap = round(max(gaps, default=0.0), 3)
     return told
 
 
+def waited(events: list[Event]) -> list[tuple[float, float]]:
+    """Each placement's time, and since when tasks had waited by then with none placed.
+
+    A new leader says how many wait as its records have it; before that word nothing is known.
+    """
+    found: list[tuple[float, float]] = []
+    waiting = 0
+    cancelled: set[str] = set()
+    since = -1.0  # < 0: nothing waits
+    for e in events:
+        job, tasks = e.fields.get("job", ""), int(e.fields.get("tasks", 0))
+        if e.what == "leading":
+            waiting = int(e.fields.get("waiting", 0))
+        elif e.what == "job taken in":
+            waiting += tasks
+        elif e.what == "attempt ended":
+            waiting += e.fields.get("task", "").partition("/")[0] not in cancelled
+        elif e.what == "job cancelled":
+            waiting -= int(e.fields.get("waiting", 0))
+            cancelled.add(job)
+        elif e.what == "tasks placed":
+            waiting -= tasks
+            found.append((e.at, since if since >= 0 else e.at))
+            since = -1.0
+        if waiting <= 0:
+            since = -1.0
+        elif since < 0:
+            since = e.at
+    return found
+
+
 def _account(events: list[Event], at: float, name: str) -> Account:
     a = Account(at, name)
 
@@ -150,7 +191,6 @@
         if getattr(a, key) is None:
             setattr(a, key, round(event.at - at, 3))
 
-    placed = at
     for e in events:
         if e.what == "doubt":
             once("doubt", e)
@@ -169,12 +209,8 @@
             a.left += 1
         elif e.what == "attempt ended":
             a.lost += e.fields.get("why") == LEASE
-        elif e.what == "tasks placed":
-            a.gap, placed = max(a.gap, e.at - placed), e.at
-            if a.read is not None:
-                once("decision", e)
-    # A day that has no work any more is no gap: only what a placement ended counts.
-    a.gap = round(a.gap, 3)
+        elif e.what == "tasks placed" and a.read is not None:
+            once("decision", e)
     return a
 
 
@@ -183,12 +219,15 @@
     jobs: dict[str, Event] = {}
     ended: dict[str, str] = {}
     after: dict[str, float] = {}
+    started: set[str] = set()
     for e in events:
         job = e.fields.get("job", "")
         if e.what == "job taken in":
             jobs.setdefault(job, e)
         elif e.what == "job over":
             ended.setdefault(job, e.fields.get("status", ""))
+        elif e.what == "tasks placed":
+            started.add(job)
         elif e.what == "all tasks done":
             after.setdefault(job, float(e.fields.get("after_s", "inf")))
     shares: dict[str, Share] = defaultdict(Share)
@@ -196,6 +235,7 @@
         for name in (taken.fields.get("workload", "?"), f"team {taken.fields.get('team', '?')}"):
             share = shares[name]
             share.jobs += 1
+            share.started += job in started
             share.done += ended.get(job) == "done"
             share.cancelled += ended.get(job) == "cancelled"
             due = taken.fields.get("due_s", "None")
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -11,7 +11,8 @@
    21.0000 host-1 2026-09-21 14:13:41,000 INFO coveflow.peers doubt node=host-0 why=silent by=host-1
    21.7000 host-1 2026-09-21 14:13:41,700 INFO coveflow.membership taking over epoch=2
    21.7500 host-1 2026-09-21 14:13:41,750 INFO coveflow.owner view epoch=2 leader=host-1
-   21.8000 host-1 2026-09-21 14:13:41,800 INFO coveflow.owner leading epoch=2 jobs=1 machines=3
+   21.8000 host-1 2026-09-21 14:13:41,800 INFO coveflow.owner leading epoch=2 jobs=1 machines=3 \
+waiting=1
    21.9000 host-1 2026-09-21 14:13:41,900 INFO coveflow.owner first report epoch=2 after_s=0.1
    22.5000 host-1 2026-09-21 14:13:42,500 INFO coveflow.owner tasks placed job=j-1 tasks=1
    23.0000 host-0 2026-09-21 14:13:43,000 INFO coveflow.owner machine goes back machine=n-1 \
@@ -32,11 +33,12 @@
     told = tl.report(tl.read([log]), [(20.0, "node_crash")])
     (fault,) = told["faults"]
     assert (fault["doubt"], fault["verdict"], fault["read"]) == (1.0, 1.7, 1.8)
-    assert (fault["first_report"], fault["decision"], fault["gap"]) == (1.9, 2.5, 2.5)
+    assert (fault["first_report"], fault["decision"]) == (1.9, 2.5)
+    assert fault["gap"] == 0.7  # from when it is known that one waits
     # What a deposed leader wished is not counted: it asked the store and did nothing.
     assert (fault["lost"], fault["returned"], told["returned"]) == (1, 1, 1)
     assert told["served"]["tally"] == {
-        "jobs": 1, "done": 1, "cancelled": 0, "due": 1, "in_time": 1,
+        "jobs": 1, "started": 1, "done": 1, "cancelled": 0, "due": 1, "in_time": 1,
     }  # fmt: skip
 
 
