Commits are sent once more where their answer is late

Change: after 60 ms a second copy goes, within a tenth of the node's share of changes and never waiting for it. Every written key is guarded, so one copy applies at the most; a conflict counts only once no copy may have applied, and few writes are read to tell at once. Ruled out: a shorter time limit (a late answer is mostly an applied commit); hedging all calls (polls have no such aim).

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -16,6 +16,9 @@
 # --- state service ---------------------------------------------------------------------
 STORE_TIMEOUT_S = 1.5  # s; answers take ms, sometimes a few hundred: beyond this, unsure
 STORE_CONNECT_S = 0.5  # s; a healthy store accepts at once
+HEDGE_S = 0.06  # s after which a commit is sent once more: answers take ms, a few of them 0.25 s
+HEDGE_PART = 0.1  # part of a node's share of changes for that, so that a slow store gets no more
+HEDGE_READ = 8  # writes at most that are read to tell whether the first copy applied
 WATCH_HOLD_S = 1.0  # s; how long a watch waits; its return is what proves store contact
 WATCH_PACE_S = 0.1  # s; least time between two watches, so bursts share one answer
 RETRY_S = 0.25  # s; first pause after a failed call, doubled up to RETRY_MAX_S
--- a/coveflow/lab/choices.py
+++ b/coveflow/lab/choices.py
@@ -81,6 +81,9 @@
     async def list(self, prefix: str) -> Any:
         return await Op("list", prefix)
 
+    async def _hedged(self, guards: Any, writes: Any) -> Any:
+        return await self.commit(guards, writes)  # copies are the search's own choices
+
     async def commit(self, guards: Any, writes: Any, grant: int | None = None) -> Any:
         return await Op("commit", dict(guards), cbor2.dumps(writes))
 
--- a/coveflow/state/store.py
+++ b/coveflow/state/store.py
@@ -31,6 +31,12 @@
     """The changes asked for are no longer kept; the keys must be read again."""
 
 
+def _seen(copy: asyncio.Future[int]) -> None:
+    """An answer that comes when nobody waits any more is of no use, and no error."""
+    if not copy.cancelled():
+        copy.exception()
+
+
 class Store:
     def __init__(
         self,
@@ -46,6 +52,7 @@
         self.limits, self.nodes, self.clock = limits, nodes, clock
         self.requests = Bucket(1.0, clock)
         self.changes = Bucket(1.0, clock)
+        self.hedges = Bucket(1.0, clock)  # puts of commits that are sent twice
         self.refused_at = -1e9
         self.contact = -1e9  # when the newest answered request was sent
         self.set_leading(False)
@@ -58,6 +65,7 @@
             share = 1.0
         self.requests.set_rate(self.limits.rps * share)
         self.changes.set_rate(self.limits.write_rps * share)
+        self.hedges.set_rate(self.limits.write_rps * share * c.HEDGE_PART)
 
     async def call(
         self,
@@ -121,11 +129,19 @@
         self, guards: dict[str, int], writes: dict[str, Any], grant: int | None = None
     ) -> int:
         """Apply the writes if every guard holds; the new revision, or Conflict."""
+        await self._pay(writes)
+        return await self._send(guards, writes, grant)
+
+    async def _pay(self, writes: dict[str, Any]) -> None:
         if writes:
             asked = self.clock()
             await self.changes.take(len(writes))
             self.meters.span("commit paced", self.clock() - asked)
             self.meters.add("puts and deletes", len(writes))
+
+    async def _send(
+        self, guards: dict[str, int], writes: dict[str, Any], grant: int | None = None
+    ) -> int:
         status, body = await self.call("POST", wire.COMMIT, body=wire.commit(guards, writes, grant))
         if status == 200:
             return wire.read_commit(body)
@@ -153,7 +169,7 @@
         pause = c.RETRY_S
         while True:
             try:
-                return await self.commit(guards, writes)
+                return await self._hedged(guards, writes)
             except Conflict:
                 # An earlier copy may have applied: then this conflict is with ourselves.
                 rev = await self._applied(guards, writes, deadline) if unsure else None
@@ -167,6 +183,42 @@
             await asyncio.sleep(pause)
             pause = min(pause * 2, c.RETRY_MAX_S)
 
+    async def _hedged(self, guards: dict[str, int], writes: dict[str, Any]) -> int:
+        """The commit, sent a second time where its answer is late and the budget for that allows.
+
+        Each copy fails where the other applied, so one applies at the most; which answer comes
+        first is no matter. A conflict counts once no copy may have applied. While one may have,
+        the writes are read, if they are few: the late answer may be that of the copy that applied.
+        """
+        await self._pay(writes)
+        first = asyncio.ensure_future(self._send(guards, writes))
+        first.add_done_callback(_seen)
+        done, _ = await asyncio.wait({first}, timeout=c.HEDGE_S)
+        if done or min(self.hedges.refill(), self.changes.refill()) < len(writes):
+            return await first
+        self.hedges.level -= len(writes)
+        await self._pay(writes)  # what is there is taken without waiting
+        self.meters.add("commits sent twice")
+        second = asyncio.ensure_future(self._send(guards, writes))
+        second.add_done_callback(_seen)
+        copies = {first, second}
+        failures: list[Exception] = []
+        while copies:
+            done, copies = await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+            for copy in done:
+                error = copy.exception()
+                if error is None:
+                    return copy.result()
+                if not isinstance(error, Unavailable | Conflict):
+                    raise error
+                failures.append(error)
+            if copies and isinstance(failures[-1], Conflict) and len(writes) <= c.HEDGE_READ:
+                rev = await self._applied(guards, writes, self.clock() + c.HEDGE_S)
+                if rev is not None:
+                    return rev
+        kinds: tuple[type[Exception], ...] = (Unsure, Conflict, Unavailable)
+        raise next(e for kind in kinds for e in failures if isinstance(e, kind))
+
     async def _applied(
         self, guards: dict[str, int], writes: dict[str, Any], deadline: float | None
     ) -> int | None:
