--- a/coveflow/core/model.py
+++ b/coveflow/core/model.py
@@ -230,6 +230,7 @@
     idle_since: float | None = None
     ends_at: float | None = None  # end announced by a spot notice
     returning: bool = False
+    silent: bool = False  # it goes back for its silence alone, and stays if it is heard again
     draining: bool = False  # its tasks move elsewhere, then it goes back
     drained: bool = False  # by an operator's word, which outlives the leader
     suspect: bool = False
--- a/coveflow/daemon/keeper.py
+++ b/coveflow/daemon/keeper.py
@@ -102,6 +102,8 @@
         silent = self._silent(now)
         if silent:
             self.give_back(silent, "silent, or work on it does not end")
+            for name in silent:
+                self.book.machines[name].silent = True
         suspects = [
             m.id
             for m in self.book.machines.values()
@@ -113,6 +115,11 @@
         if late:
             self.give_back(late, "never came up")
 
+    def still_returned(self, names: list[str]) -> list[str]:
+        """Those that are still to go back, of a request that the cloud has not answered yet."""
+        machines = self.book.machines
+        return [name for name in names if name not in machines or machines[name].returning]
+
     def _silent(self, now: float) -> list[str]:
         workers = self.params.workers
         patience = workers.lease_s + c.SILENT_MARGIN_S
--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -275,8 +275,10 @@
 
     async def _return(self, machines: list[str]) -> None:
         async def ask() -> cm.Returned:
-            await self.cloud.give_back(machines)
-            return cm.Returned(machines)
+            names = self.owner.keeper.still_returned(machines)
+            if names:
+                await self.cloud.give_back(names)
+            return cm.Returned(names)
 
         await self._of_the_cloud("return", ask)
 
--- a/coveflow/daemon/reports.py
+++ b/coveflow/daemon/reports.py
@@ -88,9 +88,26 @@
                 book.tell("notice", machine=m.id, in_s=report.notice_s)
             m.ends_at = ends if m.ends_at is None else min(m.ends_at, ends)
         news = self._tasks(m, report, now)
+        if m.returning and m.silent:
+            self._spare(m)
         self._drain(m, now)
         self._answer_or_hold(m, report, reply, news, now, command.patient)
 
+    def _spare(self, m: Machine) -> None:
+        """It was to go back for its silence, and the cloud has not answered yet: it may stay.
+
+        With the cloud down such requests waited for 40 s, and 345 machines that had been heard
+        again for half a minute, and were given no work meanwhile, went back when it was up again.
+        If a request was carried out all the same, its silence tells.
+        """
+        jobs = self.book.jobs
+        if any(jobs[p.job].cancelled is not None for p in m.placements.values()):
+            return  # what is cancelled must be gone in time
+        m.returning = m.silent = False
+        log.info("machine stays", machine=m.id, why="heard again")
+        self.book.tell("kept", machine=m.id)
+        self.book.pass_due = True
+
     def _first_heard(self, machine: str, now: float) -> None:
         """For the log: from when on this lead hears its fleet."""
         book = self.book
--- a/coveflow/lab/choices.py
+++ b/coveflow/lab/choices.py
@@ -516,7 +516,8 @@
                 sorted(inbox.members), book.records.seq, list(book.dirty_machines),
                 list(book.dirty_jobs), node.returns, node.asked, book.pass_due,
                 round(node.owner.planning.next_pass, 3), round(node.owner.commits.next_commit, 3),
-                [[m.id, m.tenure, m.counter, m.epoch, m.up, m.returning, sorted(m.clearing),
+                [[m.id, m.tenure, m.counter, m.epoch, m.up, m.returning, m.silent,
+                  sorted(m.clearing),
                   [[*p.key, p.committed, p.stopping, p.sent, p.state]
                    for p in m.placements.values()]] for m in book.machines.values()],
                 [[j.id, sorted(j.done), list(j.free), j.floor, j.cancelled]
--- a/coveflow/whatif/world.py
+++ b/coveflow/whatif/world.py
@@ -351,6 +351,7 @@
             later = self.cloud_down_until - self.now + self.network.cloud()
             self.at(later, lambda: self.give_back(name, owner, machines, epoch))
             return
+        machines = owner.keeper.still_returned(machines)
         self.cloud.give_back(machines, self.now)
         self.at(self.network.cloud(), lambda: owner.work([cm.Returned(machines)]))
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -1,11 +1,13 @@
 """A zone that is lost and comes back: what is judged, and what becomes of its work."""
 
 import pytest
+from aiohttp import web
 from hypothesis import given
 from hypothesis import strategies as st
 
 from coveflow import constants as c
 from coveflow.core.zones import CUT, GONE, RETURNING, WHOLE, Seen, Zones
+from coveflow.lab.virtual import CLOUD
 from tests.whole import FAULT_S, ZONES, finish, lost, play
 
 __all__ = ["play"]  # a fixture
@@ -120,3 +122,32 @@
     world.run(FAULT_S + 45.0)
     assert lost(world) == 0 and returned(lines) == 0
     finish(world)
+
+
+def test_machines_heard_again_before_the_cloud_is_back_stay(play):
+    """345 machines went back 40 s after they were asked to, all of them heard and idle by then."""
+    world, lines = play(machines=6, run_s=8.0, jobs_until=60.0)
+    # No controller inside: nobody keeps their leases alive, so they are to go back at once.
+    leader = world.leader()
+    far = next(zone for zone in set(ZONES.values()) if ZONES[leader] != zone)
+    down = [True]
+    serve = world.fleet.serve_cloud
+
+    async def cloud(request):
+        return web.Response(status=503) if down[0] and "return" in request.path else (
+            await serve(request)
+        )  # fmt: skip
+
+    world.places[CLOUD].handlers["cloud:1"] = cloud
+    world.cut(22.0, lambda a, b: a.name == f"workers-{far}")
+    world.run(FAULT_S + 21.0)
+    asked = returned(lines)
+    assert asked == 6
+    world.run(FAULT_S + 40.0)
+    stayed = [f["machine"] for _, what, f in lines.rows if what == "machine stays"]
+    assert len(stayed) == 6
+    down[0] = False
+    world.run(FAULT_S + 46.0)
+    hosts = world.fleet.cloud.hosts
+    assert all(hosts[name].gone > world.now for name in stayed)
+    finish(world)
