--- a/coveflow/cli/worlds.py
+++ b/coveflow/cli/worlds.py
@@ -17,7 +17,7 @@
 @click.option("--at-once", type=click.IntRange(1), default=4, show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 def worlds(kind: str, count: int, first: int, at_once: int, as_json: bool) -> None:
-    """Play generated worlds of a KIND ("ends"): rules, time without starts, work that never ended.
+    """Play generated worlds of a KIND ("ends", "zones"): rules, times without starts, work undone.
 
     Exit status 1 where a rule breaks or accepted work has no end; `--first N --count 1` plays
     one again.
@@ -31,16 +31,16 @@
 
     def done(told: w.Told) -> None:
         nonlocal seen
-        seen += 1
+        seen += not told.plain
         if told.broken or told.unfinished or told.failures:
             what = told.broken or f"{told.unfinished} jobs without an end"
             console.print(f"seed {told.seed} ({told.case}): {what} {told.failures[:3]}")
-        elif seen % 50 == 0:
+        elif seen % 50 == 0 and not told.plain:
             console.print(f"{seen} of {count}")
 
     told = w.campaign(kind, range(first, first + count), at_once, done)
     rows = w.summary(told)
-    bad = [asdict(t) for t in told if t.broken or t.unfinished]
+    bad = [asdict(t) for t in told if (t.broken or t.unfinished) and not t.plain]
     if as_json:
         print(json.dumps({"kind": kind, "worlds": count, "cases": rows, "bad": bad}))
     else:
--- a/coveflow/lab/worlds.py
+++ b/coveflow/lab/worlds.py
@@ -6,43 +6,44 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from typing import Any
 
 from coveflow.core.model import Spec
+from coveflow.core.zones import Zones
 from coveflow.lab import site as sites
-from coveflow.lab.virtual import STATE, World
+from coveflow.lab.virtual import CLOUD, STATE, World
 from coveflow.settings import Tuning
 
-BEGIN_S = 12.0  # s into a world at which its first trouble comes; by then work is steady
-JOBS_UNTIL_S = 34.0  # s until which a job is submitted every second
 WINDOW_S = 10.0  # s after the first trouble in which starts are looked at
-MOST_S = 150.0  # s by which everything that was accepted must have come to its end
+MOST_S = 150.0  # s after the last job by which everything accepted must have come to its end
+LOAD = 3.0  # times the places that the tasks of a job a second fill if they run as long as said
+WHOLE = 0.9  # part of the tasks that ran before a trouble at which a fleet counts as whole again
 
-SITE = """(lab (seed 1) (zones north south) (controllers {nodes})
+SITE = """(lab (seed 1) (zones {zones}) (controllers {nodes})
  (workers (report-s 2.5) (lease-s 15) (gang-wait-s 15) (gang-peer-s 3) (cancel-s 45))
  (state (rps 400) (write-rps 150) (value-kb 16) (txn-ops 32)) (cloud (rps 10) (list-lag-s 1))
  (type m8 (cpus 8) (ram-gb 32) (cache-gb 60) (fetch-gb-per-s 2) (price 0.4)
   (spot-price 0.1) (boot-s 3))
- (capacity m8 north (ordinary {machines}) (up {machines}))
- (capacity m8 south (ordinary {machines}) (up {machines}))
+ {capacity}
  (team blue (cpus 0) (cpus-max 0)) (class tally (team blue)))"""
 
 
 @dataclass(frozen=True)
 class Trouble:
-    """At a time, s from `BEGIN_S`: what is done to which controllers.
+    """At a time, s from the case's begin: what is done to which controllers.
 
     "leader" is who leads then, "led" who led at the first trouble that names it.
     """
 
     at: float
-    what: str  # end, outage, refuse, late, freeze
+    what: str  # end, outage, refuse, late, freeze, cut, apart, cloud
     who: tuple[str, ...] = ()
     for_s: float = 0.0  # until it is back, or over
 
@@ -53,8 +54,12 @@
     seed: int
     name: str
     nodes: int = 5
-    machines: int = 5  # in each of two zones
+    machines: int = 5  # in each zone
     troubles: tuple[Trouble, ...] = ()
+    zones: int = 2
+    run_s: float = 5.0  # s that a task runs
+    begin_s: float = 12.0  # s into the world at which troubles begin; by then work is steady
+    jobs_until_s: float = 34.0  # s until which a job is submitted every second
 
 
 @dataclass
@@ -67,6 +72,9 @@
     gap: float = 0.0  # longest time without a start in the window
     unfinished: int = 0  # accepted jobs without an end
     lost: int = 0  # attempts that ended otherwise than done
+    returned: int = 0  # machines given back as silent
+    whole_s: float = 0.0  # s from the first trouble until as much runs again as before
+    plain: bool = False  # played without what the kind is there to show
     failures: list[str] = field(default_factory=list)  # errors in the controllers' logs
 
 
@@ -132,72 +140,165 @@
     return Case("ends", seed, name, nodes, troubles=tuple(ENDS[name](r, names)))
 
 
-KINDS: dict[str, Callable[[int], Case]] = {"ends": ends}
+# --- zones -------------------------------------------------------------------------------
+
+
+def _cut(r: random.Random, for_s: float, who: str = "far") -> list[Trouble]:
+    return [Trouble(0.0, "cut", (who,), for_s * r.uniform(0.9, 1.1))]
+
+
+ZONES: dict[str, Callable[[random.Random, list[str]], list[Trouble]]] = {
+    "cut 10 s": lambda r, names: _cut(r, 10.0),
+    "cut 30 s": lambda r, names: _cut(r, 30.0),
+    "cut 60 s": lambda r, names: _cut(r, 60.0),
+    "with the leader": lambda r, names: _cut(r, 30.0, "near"),
+    "flaps": lambda r, names: [Trouble(25.0 * i, "cut", ("far",), 20.0) for i in range(4)],
+    "cloud down": lambda r, names: [*_cut(r, 30.0), Trouble(10.0, "cloud", (), 40.0)],
+    "store down": lambda r, names: [*_cut(r, 30.0), Trouble(r.uniform(0, 20), "outage", (), 8.0)],
+    "take-over": lambda r, names: [*_cut(r, 30.0), Trouble(r.uniform(0, 20), "end", ("leader",))],
+    "rolling": lambda r, names: [
+        *_cut(r, 30.0), *(Trouble(3.0 * i, "end", (n,), 0.3) for i, n in enumerate(names)),
+    ],
+    "apart": lambda r, names: [Trouble(0.0, "apart", (), 30.0)],
+}  # fmt: skip
+
+
+def zones(seed: int) -> Case:
+    """Zones that are lost and come back, in each way in turn."""
+    r = random.Random(f"zones-{seed}")
+    name = list(ZONES)[seed % len(ZONES)]
+    names = [f"host-{i}" for i in range(5)]
+    # Every other lap, three zones in place of two.
+    count = 2 + seed // len(ZONES) % 2
+    return Case(
+        "zones", seed, name, 5, 10, tuple(ZONES[name](r, names)), count,
+        run_s=r.uniform(10.0, 25.0), begin_s=25.0, jobs_until_s=100.0,
+    )  # fmt: skip
+
+
+@contextlib.contextmanager
+def _no_zones() -> Iterator[None]:
+    """The keeper as it was before it knew zones."""
+    real, Zones.look = Zones.look, lambda self, now, seen: []  # type: ignore[method-assign]
+    try:
+        yield
+    finally:
+        Zones.look = real  # type: ignore[method-assign]
+
+
+Plain = Callable[[], contextlib.AbstractContextManager[None]]
+# Kinds, and what plays them without what they are there to show, to compare with.
+KINDS: dict[str, tuple[Callable[[int], Case], Plain | None]] = {
+    "ends": (ends, None),
+    "zones": (zones, _no_zones),
+}
 
 
 # --- playing -----------------------------------------------------------------------------
 
 
-class _Errors(logging.Handler):
+class _Lines(logging.Handler):
+    """Errors of the controllers, attempts lost, and machines given back as silent."""
+
     def __init__(self) -> None:
-        super().__init__(logging.ERROR)
-        self.found: list[str] = []
+        super().__init__(logging.INFO)
+        self.errors: list[str] = []
+        self.returned = self.lost = 0
 
     def emit(self, record: logging.LogRecord) -> None:
-        self.found.append(record.getMessage())
+        if record.levelno >= logging.ERROR:
+            self.errors.append(record.getMessage())
+        what, why = record.getMessage(), str(getattr(record, "fields", {}).get("why", ""))
+        self.returned += what == "machine goes back" and why.startswith("silent")
+        self.lost += what == "attempt ended" and why != "never started"
 
 
 def play(case: Case) -> Told:
     """Play the case to the end of all its work, or until a rule breaks."""
-    zones = {f"host-{i}": "north" if i % 2 == 0 else "south" for i in range(case.nodes)}
-    text = SITE.format(nodes=case.nodes, machines=case.machines)
+    names = [f"zone-{i}" for i in range(case.zones)]
+    nodes = {f"host-{i}": names[i % case.zones] for i in range(case.nodes)}
+    there = f"(ordinary {case.machines}) (up {case.machines})"
+    text = SITE.format(
+        nodes=case.nodes, zones=" ".join(names),
+        capacity=" ".join(f"(capacity m8 {name} {there})" for name in names),
+    )  # fmt: skip
     told = Told(case.name, case.seed)
-    logger, errors = logging.getLogger("coveflow"), _Errors()
-    level = logger.level
-    logger.addHandler(errors)
-    logger.setLevel(logging.ERROR)
+    logger, lines = logging.getLogger("coveflow"), _Lines()
+    level, logger.propagate = logger.level, False
+    logger.addHandler(lines)
+    logger.setLevel(logging.INFO)
     try:
-        with World(sites.parse(text, case.kind), zones, case.seed, Tuning(homes=True)) as world:
-            _work(world, list(zones), case.machines)
+        with World(sites.parse(text, case.kind), nodes, case.seed, Tuning(homes=True)) as world:
+            _work(world, case)
             led: list[str] = []
             for trouble in case.troubles:
-                world.at(BEGIN_S + trouble.at, lambda t=trouble: _cause(world, t, led))
+                world.at(case.begin_s + trouble.at, lambda t=trouble: _cause(world, t, led))
             try:
-                world.run(max(BEGIN_S + WINDOW_S, JOBS_UNTIL_S + 1.0))
-                while world.now < MOST_S and _unfinished(world):
+                world.run(max(case.begin_s + WINDOW_S, case.jobs_until_s + 1.0))
+                while world.now < case.jobs_until_s + MOST_S and _unfinished(world):
                     world.run(world.now + 1.0)
             except AssertionError as error:
                 told.broken = str(error)
-            told.gap = _gap(world, BEGIN_S, BEGIN_S + WINDOW_S)
+            told.gap = _gap(world, case.begin_s, case.begin_s + WINDOW_S)
+            told.whole_s = _whole(world, case)
             told.unfinished = len(_unfinished(world))
-            told.lost = sum(k == "off" and row["why"] != "done" for _, k, row in world.told)
     finally:
-        logger.removeHandler(errors)
+        logger.removeHandler(lines)
         logger.setLevel(level)
-    told.failures = errors.found
+        logger.propagate = True
+    told.failures, told.returned, told.lost = lines.errors, lines.returned, lines.lost
     return told
 
 
-def _work(world: World, names: list[str], machines: int) -> None:
-    """More tasks than places from the third second on, so that every end could start another."""
-    for i in range(int(JOBS_UNTIL_S - 3.0)):
+def _work(world: World, case: Case) -> None:
+    """More tasks than places after a while, so that every end could start another."""
+    names = list(world.controllers)
+    places = LOAD * 8 * case.machines * case.zones
+    for i in range(int(case.jobs_until_s - 3.0)):
         spec = Spec(
             id=f"j-{i:06d}", workload="tally", team="blue", kind="array", priority=1,
-            tasks=3 * machines, cpus=1.0, accelerators=0.0, ram_gb=1.0, image="img", image_gb=1.0,
-            types=None, zone=None, one_zone=False, spread=False, spot=True, expected_s=5.0,
-            checkpoint_s=0.0, save_s=0.0, deadline_s=None,
+            tasks=max(1, int(places / case.run_s)), cpus=1.0, accelerators=0.0, ram_gb=1.0,
+            image="img", image_gb=1.0, types=None, zone=None, one_zone=False, spread=False,
+            spot=True, expected_s=case.run_s, checkpoint_s=0.0, save_s=0.0, deadline_s=None,
         )  # fmt: skip
         node = names[i % len(names)]
         world.at(3.0 + i, lambda spec=spec, node=node: world.submit(spec, node))
 
 
+def _whole(world: World, case: Case) -> float:
+    """s until, after the last moment with less, as much ran as before; to the last job's coming."""
+    level, running, low = 0.0, 0, 0.0
+    on: set[tuple[str, int, str]] = set()
+    for at, kind, row in world.told:
+        key = (row["job"], row["task"], row["machine"])
+        if kind == "running":
+            on.add(key)
+        elif kind == "off":
+            on.discard(key)
+        running = len(on)
+        if at < case.begin_s:
+            level = running
+        elif at < case.jobs_until_s and running < WHOLE * level:
+            low = at - case.begin_s
+    return low
+
+
 def _cause(world: World, trouble: Trouble, led: list[str]) -> None:
     leader = world.leader() or next(iter(world.controllers))
     if "led" in trouble.who and not led:
         led.append(leader)
     known = {"leader": leader, "led": led[0] if led else leader}
     who = [known.get(name, name) for name in trouble.who]
-    if trouble.what == "end":
+    zone_of = world.controllers
+    if trouble.what == "cut":
+        far = next(zone for zone in reversed(world.site.zones) if zone != zone_of[leader])
+        zone = far if trouble.who == ("far",) else zone_of[leader]
+        world.cut(trouble.for_s, lambda a, b: (a.zone == zone) != (b.zone == zone))
+    elif trouble.what == "apart":
+        world.cut(trouble.for_s, lambda a, b: bool(a.zone and b.zone) and a.zone != b.zone)
+    elif trouble.what == "cloud":
+        world.cut(trouble.for_s, lambda a, b: b.name == CLOUD, "refuse")
+    elif trouble.what == "end":
         for name in who:
             if world.places[name].alive:
                 world.crash(name, trouble.for_s)
@@ -223,42 +324,48 @@
     return accepted - {key[4:] for key, row in rows if row.value["status"] == "done"}
 
 
-def _played(kind: str, seed: int) -> Told:
-    return play(KINDS[kind](seed))
+def _played(kind: str, seed: int) -> list[Told]:
+    draw, plain = KINDS[kind]
+    found = [play(draw(seed))]
+    if plain is not None:
+        with plain():
+            found.append(play(draw(seed)))
+        found[-1].plain = True
+    return found
 
 
 def campaign(
     kind: str, seeds: range, at_once: int, done: Callable[[Told], None] = lambda told: None
 ) -> list[Told]:
     """Play the seeds' cases, some at once, each in a process; `done` hears of each as it ends."""
-    if at_once == 1:
-        found = []
-        for seed in seeds:
-            found.append(_played(kind, seed))
-            done(found[-1])
-        return found
+    found: list[Told] = []
     with ProcessPoolExecutor(at_once) as pool:
-        found = []
         for told in pool.map(_played, itertools.repeat(kind), seeds):
-            found.append(told)
-            done(told)
-        return found
+            for one in told:
+                found.append(one)
+                done(one)
+    return found
 
 
 def summary(told: list[Told]) -> list[dict[str, Any]]:
-    """By sort of case: worlds, broken rules, jobs without an end, and gaps (p50, p99, most; s)."""
+    """By sort of case: worlds, broken rules, jobs without an end, gaps and more (times in s)."""
+
+    def part(values: list[float], of: float) -> float:
+        return round(sorted(values)[min(len(values) - 1, int(len(values) * of))], 2)
+
     rows = []
-    for name in dict.fromkeys(t.case for t in told):
-        mine = [t for t in told if t.case == name]
-        gaps = sorted(t.gap for t in mine)
+    for name, plain in dict.fromkeys((t.case, t.plain) for t in told):
+        mine = [t for t in told if (t.case, t.plain) == (name, plain)]
+        gaps, whole = [t.gap for t in mine], [t.whole_s for t in mine]
         rows.append(
             {
-                "case": name, "worlds": len(mine), "broken": sum(bool(t.broken) for t in mine),
+                "case": f"{name}, without" if plain else name, "worlds": len(mine),
+                "broken": sum(bool(t.broken) for t in mine),
                 "unfinished": sum(t.unfinished for t in mine), "lost": sum(t.lost for t in mine),
+                "returned": sum(t.returned for t in mine),
                 "errors": sum(len(t.failures) for t in mine),
-                "gap_p50": round(gaps[len(gaps) // 2], 2),
-                "gap_p99": round(gaps[min(len(gaps) - 1, int(len(gaps) * 0.99))], 2),
-                "gap_most": round(gaps[-1], 2),
+                "gap_p50": part(gaps, 0.5), "gap_p99": part(gaps, 0.99), "gap_most": max(gaps),
+                "whole_p50": part(whole, 0.5), "whole_most": max(whole),
             }
         )  # fmt: skip
-    return rows
+    return [row | {k: round(v, 2) for k, v in row.items() if isinstance(v, float)} for row in rows]
