--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -201,6 +201,9 @@
             sent = self._to_leader(report, leader, now)
             if sent is not None:
                 return sent
+            if self.clock() - now < c.RELAY_TIMEOUT_S / 2:
+                # It came back from there: by mail, which also tells that it is heard.
+                return await self._past_leader(report, now)
         if not self.may_keep_alive():
             return web.Response(status=503)
         return self._keep_alive(report, now)
