Deadline work that is late already waits for what can still be in time

Ruled out: earliest deadline first (changes the ordinary path too). Change: within a priority, what cannot end in time any more goes after what can.

--- a/coveflow/core/planner.py
+++ b/coveflow/core/planner.py
@@ -53,22 +53,25 @@
     """Guaranteed work, then deadline jobs that can still gain and goals, then the rest.
 
     The first by arrival; the second by priority and arrival, as only a higher priority may stop
-    a lower one. A class that is to start within some time keeps its place however late it is.
+    a lower one, and what is late already after what can still be in time: in arrival order one
+    late job made the next ones late too. A class that is to start within some time never falls
+    back to the rest, however late it is.
     The rest goes by arrival less the guessed run time, as long ones have
     to start earlier to be over at the same time. In arrival order alone they ended the day.
     """
 
-    def rank(job: Job) -> tuple[int, int, float]:
-        arrived = state.arrived[job.id]
+    def rank(job: Job) -> tuple[int, int, bool, float]:
+        spec, arrived = job.spec, state.arrived[job.id]
         if job.id in inside:
-            return (0, 0, arrived)
+            return (0, 0, False, arrived)
         guess = guesses.get(job.id, 60.0)
         if (
-            job.spec.workload in state.goals
-            or value(job.spec, arrived, state.now + guess, tuning.slope) > 0
+            spec.workload in state.goals
+            or value(spec, arrived, state.now + guess, tuning.slope) > 0
         ):
-            return (1, -job.spec.priority, arrived)
-        return (2, 0, arrived - guess)
+            late = spec.deadline_s is not None and state.now + guess > arrived + spec.deadline_s
+            return (1, -spec.priority, late, arrived)
+        return (2, 0, False, arrived - guess)
 
     return sorted(
         (j for j in state.jobs if j.cancelled is None and j.free and j.not_before <= state.now),
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -353,3 +353,16 @@
     s = state([gang], [vision(f"a{i}") for i in range(4)], now=1.0, teams=teams)
     s.goals = {"sort": (scene.Goal(25.0, False),)}
     assert started(run(s, {"j-2": 20.0})) == {"j-2": 4}
+
+
+def test_what_can_still_be_in_time_goes_before_what_is_late_already():
+    """In arrival order one late job made the next ones late too, even of a class with a goal."""
+    jobs = [
+        job("j-1", 0.0, tasks=6, deadline_s=40.0),
+        job("j-2", 10.0, tasks=6, deadline_s=100.0),
+        job("j-3", 11.0, tasks=6, deadline_s=100.0),
+    ]
+    s = state(jobs, [machine("a")], now=20.0)
+    s.goals = {"sort": (scene.Goal(60.0, False),)}
+    assert started(run(s, dict.fromkeys(s.arrived, 15.0))) == {"j-1": 6, "j-2": 2}
+    assert started(run(s, dict.fromkeys(s.arrived, 30.0))) == {"j-2": 6, "j-3": 2}
