Machines kept up for prompt work go back once no such work comes any more

Change: a class is expected for five of the usual times between its last 20 jobs; when none of the classes with aims for their starts is expected, nothing is kept up for them.

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -128,6 +128,10 @@
 READY_S = 30.0  # s of coming work for which free accelerators are kept; about a boot or a fetch
 ASKED_PARTS = 6  # parts of the time over which recent demand is counted; their median is taken,
 ASKED_PART_S = 20.0  # s each, so that a single rush does not pass for what usually comes
+COMING_KEPT = 20  # jobs of a class by whose times it is told how often they come
+COMING_TIMES = 5.0  # times the usual time between two without one, after which no more are waited
+# for: one in 150 such times is as long, and all prompt classes have to be quiet at once
+COMING_LEAST_S = 20.0  # s of that at the least; a rush ends no sooner
 USES_KEPT = 32  # recent jobs' use beside an accelerator, from which free ones keep room
 GUESS_TOLD = 0.05  # part by which a guess must have moved to be told to the trace again
 PASS_PART = 12  # times a pass's own time before the next: planning stays under a tenth
--- a/coveflow/core/demand.py
+++ b/coveflow/core/demand.py
@@ -30,3 +30,22 @@
             parts[min(max(0, int((now - at) // c.ASKED_PART_S)), c.ASKED_PARTS - 1)] += tasks
         assert self.spec is not None
         return Asked(self.spec, statistics.median(parts) / c.ASKED_PART_S)
+
+
+class Coming:
+    """Whether jobs of a class still come, by the times between those that came lately."""
+
+    def __init__(self) -> None:
+        self.at: deque[float] = deque(maxlen=c.COMING_KEPT)
+
+    def add(self, at: float) -> None:
+        """A job came at that time (s of the caller's clock); a new leader learns in any order."""
+        self.at.append(at)
+
+    def still(self, now: float) -> bool:
+        """False once several of the usual times between two jobs have passed without one."""
+        if len(self.at) < 2:
+            return True
+        first, last = min(self.at), max(self.at)
+        usual = (last - first) / (len(self.at) - 1)
+        return now - last <= max(c.COMING_LEAST_S, c.COMING_TIMES * usual)
--- a/coveflow/core/fleet.py
+++ b/coveflow/core/fleet.py
@@ -136,10 +136,19 @@
         settled: bool,
         prompt: Callable[[str], bool] = lambda job: False,
         shut: AbstractSet[str] = frozenset(),
+        expected: bool = True,
     ) -> tuple[list[Want], list[str]]:
-        """What to ask for and what to give back; nothing is asked for in zones that are `shut`."""
+        """What to ask for and what to give back; nothing is asked for in zones that are `shut`.
+
+        `prompt` tells the jobs whose like is to start promptly and still comes, `expected` whether
+        there is any such class: if not, nothing is kept up for it.
+        """
         by_name = {f.name: f for f in flavors}
-        self._needed(now, machines, prompt)
+        if expected:
+            self._needed(now, machines, prompt)
+        else:
+            # The evening's rush is over: 8,000 CPUs once stayed up for three minutes after it.
+            self.needed.clear()
         wants = self._wants(now, lacks, by_name, machines, shut) if settled else []
         returns = self._returns(now, machines, lacks, tuning) if settled else []
         return wants, returns
--- a/coveflow/daemon/book.py
+++ b/coveflow/daemon/book.py
@@ -40,6 +40,7 @@
         self.jobs: dict[str, Job] = {}
         self.uses: OrderedDict[scene.Use, None] = OrderedDict()  # of accelerators, by recent jobs
         self.demand: dict[str, demand.Demand] = {}  # for accelerators, by class
+        self.coming: dict[str, demand.Coming] = {}  # when jobs came, by class
         self.machines: dict[str, Machine] = {}
         self.unheard: set[str] = set()  # machines on record that did not report in this lead
         self.fleet = fleet.Fleet()
@@ -140,6 +141,8 @@
         self.wake(p.machine)
 
     def _asked(self, job: Job) -> None:
+        came = self.around.clock() - max(0.0, self.around.wall() - job.arrived)
+        self.coming.setdefault(job.spec.workload, demand.Coming()).add(came)
         use = scene.use_of(job.spec)
         if use is None:
             return
@@ -148,7 +151,7 @@
         if len(self.uses) > c.USES_KEPT:
             self.uses.popitem(last=False)
         known = self.demand.setdefault(job.spec.workload, demand.Demand())
-        known.add(job.spec, self.around.clock() - max(0.0, self.around.wall() - job.arrived))
+        known.add(job.spec, came)
 
     def end(self, p: Placement, done: bool, why: str, saved: bool = False) -> None:
         """The attempt is proven gone. Its room is free; its task is, once that is committed."""
--- a/coveflow/daemon/keeper.py
+++ b/coveflow/daemon/keeper.py
@@ -36,6 +36,7 @@
         book, tuning = self.book, self.around.tuning
         book.fleet_due = False
         shut = self.zones.cut_off()
+        live = {name for name in self.goals if name in book.coming and book.coming[name].still(now)}
         machines = [m for m in book.machines.values() if m.zone not in shut]
         wants, returns = book.fleet.decide(
             now=now,
@@ -46,7 +47,8 @@
             tuning=tuning,
             # After a take-over, machines that are up already have yet to report.
             settled=book.leading == 1 or now - book.since > 3 * self.params.workers.report_s,
-            prompt=lambda job: book.jobs[job].spec.workload in self.goals,
+            prompt=lambda job: book.jobs[job].spec.workload in live,
+            expected=bool(live),
         )
         for want in wants:
             book.tell("asked", **want_fields(want))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Renting and returning, by hand-made examples."""
 
+from coveflow.core import demand
 from coveflow.core.fleet import Fleet, Want
 from coveflow.core.model import Job, Machine
 from coveflow.core.planner import Lack
@@ -10,7 +11,7 @@
 LARGE = flavor("m16", cpus=16.0, ram_gb=64.0, price=1.0, spot_price=0.3, zones=["north"])
 
 
-def decide(fleet, now=0.0, machines=(), lacks=()):
+def decide(fleet, now=0.0, machines=(), lacks=(), **more):
     return fleet.decide(
         now=now,
         machines=list(machines),
@@ -18,6 +19,7 @@
         flavors=[SMALL, LARGE],
         tuning=Tuning(),
         settled=True,
+        **more,
     )
 
 
@@ -157,3 +159,30 @@
     for key in [key for key in fleet.closed if not key[2]]:
         del fleet.closed[key]
     assert decide(fleet, lacks=[gang], machines=[one, more])[0] == []
+
+
+def test_a_class_that_usually_comes_often_is_not_waited_for_when_it_stopped():
+    came = demand.Coming()
+    for i in range(30):
+        came.add(100.0 + 8.0 * i)
+    last = 100.0 + 8.0 * 29
+    assert came.still(last + 39.0) and not came.still(last + 41.0)
+    rush = demand.Coming()
+    for _ in range(20):
+        rush.add(10.0)  # all at once: no sign of how often they come
+    assert rush.still(29.0) and not rush.still(31.0)
+
+
+def test_machines_kept_up_for_prompt_work_go_back_when_none_is_expected():
+    fleet, machines = Fleet(), [up(f"n-{i}") for i in range(4)]
+    job = Job(spec(tasks=4), 0.0, 1)
+    job.refill()
+    placed = [job.place(m, 0.0) for m in machines]
+    decide(fleet, machines=machines, prompt=lambda name: True)
+    for m, p in zip(machines, placed, strict=True):
+        del m.placements[p.key]
+        m.give(job.spec)
+    for now in (100.0, 130.0):
+        kept = decide(fleet, now=now, machines=machines, prompt=lambda name: True)[1]
+    assert not kept
+    assert len(decide(fleet, now=131.0, machines=machines, expected=False)[1]) == 4
