--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -182,8 +182,7 @@
         since = suspicion.silent_since(leader)
         # Its hold would be over by now if the leader were gone: the way to it is cut.
         lost = since is not None and now - since > c.CARRY_LOST_S
-        if lost and suspicion.alone(now) and leader in self.owner.inbox.members:
-            # No node is heard here, so it is this node's own ways that are cut, not the leader's.
+        if lost and self._kept_from_all(now) and leader in self.owner.inbox.members:
             return self._to_leader(report, leader, now) or await self._past_leader(report, now)
         if lost:
             return await self._past_leader(report, now)
@@ -208,6 +207,17 @@
             return web.Response(status=503)
         return self._keep_alive(report, now)
 
+    def _kept_from_all(self, now: float) -> bool:
+        """Whether it is this node's own ways to the others that are cut, not its zone's.
+
+        It hears no other node, one of its own zone included, but the store. Without the store it
+        may be the whole zone, and a zone's only controller cannot tell: workers sent away from it
+        tried the others in vain, 4 s each, until their leases were over.
+        """
+        mates = self.settings.zone in [member.zone for member in self.settings.members]
+        fresh = self.store.contact > now - c.PEER_FRESH_S
+        return mates and fresh and self.peers.suspicion.alone(now)
+
     def _refused(self) -> bool:
         """Whether this node is kept from all others, but not from the store."""
         return self.peers.refused() and self.store.contact > self.clock() - c.PEER_FRESH_S
