One reader of gaps and unfinished work, one look at fresh store contact; hand-overs say if they named one

Found on the last read of the change: the tests' world and lab.worlds had the site's text, gaps and unfinished work twice; the store's freshness was written out four times in agents; a leader that keeps ending looked for its heir twice; each machine's zone was looked up at every tick though only silent ones need it; a node that is listed among its own members would have counted as its own zone-mate.

--- a/coveflow/cli/timeline.py
+++ b/coveflow/cli/timeline.py
@@ -41,7 +41,8 @@
     if not events:
         raise UserError("no line of a controller's log is in there; was LOG_LEVEL error?")
     told = tl.report(events, faults)
-    low = [name for name, share in tl.served(events).items() if share.served < least]
+    served = tl.served(events)
+    low = [name for name, share in served.items() if share.served < least]
     if as_json:
         print(json.dumps(told | {"under_least": low}))
         raise SystemExit(1 if low else 0)
@@ -56,7 +57,7 @@
     shares = Table(box=None)
     for title in ("class or team", "jobs", "started", "served", "cancelled", "in time"):
         shares.add_column(title)
-    for name, s in tl.served(events).items():
+    for name, s in served.items():
         shares.add_row(
             name, str(s.jobs), f"{s.started / max(1, s.jobs):.2f}", f"{s.served:.2f}",
             str(s.cancelled), f"{s.in_time / s.due:.2f}" if s.due else "",
--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -182,10 +182,11 @@
         since = suspicion.silent_since(leader)
         # Its hold would be over by now if the leader were gone: the way to it is cut.
         lost = since is not None and now - since > c.CARRY_LOST_S
-        if lost and self._kept_from_all(now) and leader in self.owner.inbox.members:
-            return self._to_leader(report, leader, now) or await self._past_leader(report, now)
         if lost:
-            return await self._past_leader(report, now)
+            sent = None
+            if self._kept_from_all(now) and leader in self.owner.inbox.members:
+                sent = self._to_leader(report, leader, now)
+            return sent or await self._past_leader(report, now)
         answer = None
         if not self._refused():
             key = (machine, report.tenure, report.counter)
@@ -214,13 +215,17 @@
         may be the whole zone, and a zone's only controller cannot tell: workers sent away from it
         tried the others in vain, 4 s each, until their leases were over.
         """
-        mates = self.settings.zone in [member.zone for member in self.settings.members]
-        fresh = self.store.contact > now - c.PEER_FRESH_S
-        return mates and fresh and self.peers.suspicion.alone(now)
+        me, zone = self.settings.name, self.settings.zone
+        mates = any(where == zone for name, where in self.zones.items() if name != me)
+        return mates and self._store_fresh(now) and self.peers.suspicion.alone(now)
+
+    def _store_fresh(self, now: float) -> bool:
+        """Whether the store answered this node just now."""
+        return self.store.contact > now - c.PEER_FRESH_S
 
     def _refused(self) -> bool:
         """Whether this node is kept from all others, but not from the store."""
-        return self.peers.refused() and self.store.contact > self.clock() - c.PEER_FRESH_S
+        return self.peers.refused() and self._store_fresh(self.clock())
 
     def _to_leader(self, report: Report, leader: str, now: float) -> web.Response | None:
         """Send the worker to the leader itself; None if it came back from there."""
@@ -234,7 +239,7 @@
         return None
 
     async def _past_leader(self, report: Report, now: float) -> web.Response:
-        if self.store.contact > now - c.PEER_FRESH_S:
+        if self._store_fresh(now):
             return await self._by_mail(report, now)
         return self._keep_alive(report, now)
 
--- a/coveflow/daemon/keeper.py
+++ b/coveflow/daemon/keeper.py
@@ -141,7 +141,9 @@
         for m in self.book.machines.values():
             if m.returning:
                 continue
-            quiet = now - max(m.heard, m.vouched, self.zones.heard_again(m.zone))
+            quiet = now - (m.heard if m.heard > m.vouched else m.vouched)
+            if quiet > c.NOTICE_SILENT_S:  # hardly any is, and only those cost another look
+                quiet = min(quiet, now - self.zones.heard_again(m.zone))
             if quiet > c.NOTICE_SILENT_S:  # the shortest of all the patiences below
                 taken = m.ends_at is not None and now > m.ends_at
                 waits = patience if m.counter >= 0 else unheard
--- a/coveflow/lab/worlds.py
+++ b/coveflow/lab/worlds.py
@@ -10,7 +10,7 @@
 import itertools
 import logging
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from typing import Any
@@ -35,6 +35,13 @@
  (team blue (cpus 0) (cpus-max 0)) (class tally (team blue)))"""
 
 
+def site(zones: Sequence[str], nodes: int, machines: int) -> str:
+    """A lab's text with this many machines up in each zone."""
+    there = f"(ordinary {machines}) (up {machines})"
+    capacity = " ".join(f"(capacity m8 {name} {there})" for name in zones)
+    return SITE.format(nodes=nodes, zones=" ".join(zones), capacity=capacity)
+
+
 @dataclass(frozen=True)
 class Trouble:
     """At a time, s from the case's begin: what is done to which controllers.
@@ -217,11 +224,7 @@
     """Play the case to the end of all its work, or until a rule breaks."""
     names = [f"zone-{i}" for i in range(case.zones)]
     nodes = {f"host-{i}": names[i % case.zones] for i in range(case.nodes)}
-    there = f"(ordinary {case.machines}) (up {case.machines})"
-    text = SITE.format(
-        nodes=case.nodes, zones=" ".join(names),
-        capacity=" ".join(f"(capacity m8 {name} {there})" for name in names),
-    )  # fmt: skip
+    text = site(names, case.nodes, case.machines)
     told = Told(case.name, case.seed)
     logger, lines = logging.getLogger("coveflow"), _Lines()
     level, logger.propagate = logger.level, False
@@ -235,13 +238,13 @@
                 world.at(case.begin_s + trouble.at, lambda t=trouble: _cause(world, t, led))
             try:
                 world.run(max(case.begin_s + WINDOW_S, case.jobs_until_s + 1.0))
-                while world.now < case.jobs_until_s + MOST_S and _unfinished(world):
+                while world.now < case.jobs_until_s + MOST_S and unfinished(world):
                     world.run(world.now + 1.0)
             except AssertionError as error:
                 told.broken = str(error)
-            told.gap = _gap(world, case.begin_s, case.begin_s + WINDOW_S)
+            told.gap = gap(world, case.begin_s, case.begin_s + WINDOW_S)
             told.whole_s = _whole(world, case)
-            told.unfinished = len(_unfinished(world))
+            told.unfinished = len(unfinished(world))
     finally:
         logger.removeHandler(lines)
         logger.setLevel(level)
@@ -313,12 +316,14 @@
             world.freeze(name, trouble.for_s)
 
 
-def _gap(world: World, start: float, end: float) -> float:
+def gap(world: World, start: float, end: float) -> float:
+    """Longest time in which no task began to run anywhere."""
     times = [at for at, kind, _ in world.told if kind == "running" and start <= at < end]
     return max(b - a for a, b in itertools.pairwise([start, *times, end]))
 
 
-def _unfinished(world: World) -> set[str]:
+def unfinished(world: World) -> set[str]:
+    """Accepted jobs that are not done."""
     rows, _ = world.state.store.list("old/", "", 10**6)
     accepted = {job for job, (status, _) in world.answers.items() if status in (200, 201)}
     return accepted - {key[4:] for key, row in rows if row.value["status"] == "done"}
--- a/coveflow/membership/lead.py
+++ b/coveflow/membership/lead.py
@@ -92,7 +92,7 @@
         """Whether the store's word, newer than this node's joining, has it among no members."""
         return self.known_at > self.joined_at and self.settings.name not in self.seat.members
 
-    async def _hand_over(self, why: str) -> None:
+    async def _hand_over(self, why: str) -> bool:
         """Name the next leader, of this node's own accord, if there is one to name.
 
         The named one raises the epoch itself when it is told, and whoever is alive does if its
@@ -102,16 +102,14 @@
         seat, me = self.seat, self.settings.name
         view = seat.view
         passed = [*(view.passed if self._lately(view) else []), me]
-        heir = self._heir(passed)
+        heir = next((name for name in self.order() if name not in passed), None)
         if heir is None:
-            return
+            return False
         new = sk.View(view.epoch + 1, heir, view.members, 0, passed, at=self.wall())
         log.warning("handing over", to=heir, why=why)
         rev = await self.store.commit({sk.VIEW: view.rev}, {sk.VIEW: sk.view_value(new)})
         await self._tell([(sk.VIEW, sk.view_value(new), rev)], None)
-
-    def _heir(self, passed: list[str]) -> str | None:
-        return next((name for name in self.order() if name not in passed), None)
+        return True
 
     def _lately(self, view: sk.View) -> bool:
         return self.wall() - view.at < c.DOUBT_FADE_S
@@ -126,9 +124,8 @@
                 if after is None:
                     after = await self._list()
                 if self._may_lead():
-                    if self._keeps_ending() and self._heir([self.settings.name]) is not None:
-                        await self._hand_over("ended again and again")
-                    else:
+                    again = self._keeps_ending()
+                    if not (again and await self._hand_over("ended again and again")):
                         after = await self._take_over()
                 opened = self.clock()
                 # One that has yet to join looks again soon: the word of its joining may come
--- a/tests/whole.py
+++ b/tests/whole.py
@@ -1,22 +1,18 @@
 """Whole controllers in virtual time for tests: a world with steady work, and what is read of it."""
 
-import itertools
 import logging
 
 import pytest
 
 from coveflow.lab import site as sites
 from coveflow.lab.virtual import World
+from coveflow.lab.worlds import gap, site, unfinished
 from coveflow.settings import Tuning
 from tests.samples import spec
 
-LAB = """(lab (seed 1) (zones north south) (controllers 5)
- (workers (report-s 2.5) (lease-s 15) (gang-wait-s 15) (gang-peer-s 3) (cancel-s 45))
- (state (rps 400) (write-rps 150) (value-kb 16) (txn-ops 32)) (cloud (rps 10) (list-lag-s 1))
- (type m8 (cpus 8) (ram-gb 32) (cache-gb 60) (fetch-gb-per-s 2) (price 0.4)
-  (spot-price 0.1) (boot-s 3))
- (capacity m8 north (ordinary 5) (up 5)) (capacity m8 south (ordinary 5) (up 5))
- (team blue (cpus 0) (cpus-max 0)) (class tally (team blue)))"""
+__all__ = ["gap"]  # read by the tests of worlds played here
+
+SIDES = ("north", "south")
 ZONES = {"host-0": "north", "host-1": "north", "host-2": "north", "host-3": "south",
          "host-4": "south"}  # fmt: skip
 FAULT_S = 12.0  # s into the world at which things fail
@@ -46,7 +42,7 @@
     logger.setLevel(logging.INFO)
 
     def begin(zones=ZONES, jobs_until=34.0, machines=5, run_s=5.0, **more) -> World:
-        text = LAB.replace("5) (up 5", f"{machines}) (up {machines}")
+        text = site(SIDES, len(ZONES), machines)
         world = World(sites.parse(text, "test"), zones, tuning=Tuning(homes=True), **more)
         worlds.append(world)
         lines.world, world.lines = world, lines
@@ -65,13 +61,6 @@
         world.close()
 
 
-def gap(world: World, start: float, end: float) -> float:
-    """Longest time in which no task began to run anywhere."""
-    times = [at for at, kind, _ in world.told if kind == "running" and start <= at < end]
-    times = [start, *times, end]
-    return max(b - a for a, b in itertools.pairwise(times))
-
-
 def lost(world: World) -> int:
     """Attempts that ended otherwise than done.
 
@@ -84,13 +73,6 @@
     )
 
 
-def all_done(world: World) -> bool:
-    rows, _ = world.state.store.list("old/", "", 10**6)
-    done = {key[4:] for key, row in rows if row.value["status"] == "done"}
-    accepted = {job for job, (status, _) in world.answers.items() if status in (200, 201)}
-    return bool(accepted) and accepted <= done
-
-
 def finish(world: World) -> None:
     """Everything that was accepted comes to its end."""
     looked = [0.0]
@@ -99,10 +81,10 @@
         if world.now < looked[0] + 1.0 or world.now < 36.0:
             return False
         looked[0] = world.now
-        return all_done(world)
+        return bool(world.answers) and not unfinished(world)
 
     world.run(120.0, over)
-    assert all_done(world)
+    assert world.answers and not unfinished(world)
 
 
 def workers(place) -> bool:
