Machines that hear nothing, late copies of reports, and nodes without store and peers

Cause: Reports.heard took the held answer away and marked a machine up before it compared (tenure, counter); a new leader took any report for a sign of life; a machine whose reports arrive and whose answers are lost kept its work for ever where a node heard it, and a whole zone of them went back as silent, as each node that sent them away told nobody. A controller that lost the store and all others kept its workers for 26 s.

Change: evidence goes by order of session and number everywhere (owner, homes, keep-alive, word to peers); what was sent before a lead shows no life; core.hearing tells deaf machines by what they do not do; reports of machines that were sent elsewhere are told to the leader; a node that lost store and peers while a mate of its zone was heard to the last sends its workers there.

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -95,6 +95,7 @@
 CARRY_ASKS = 0.7  # part of PING_S after which a batch asks for the leader's word, as a ping would
 CARRY_HEARD_S = 0.8  # s since the leader's last answer in which doubt keeps no batch back
 CARRY_BYTES = 256 * 1024  # bytes of reports in a batch: a quarter of what the HTTP library takes in
+CARRY_SEEN = 40  # reports in a batch that are only told of, a KiB or a few each
 CARRY_AT_ONCE = 3  # batches under way, so that a slow answer does not stop the next ones
 CARRY_TIMEOUT_S = 1.0  # s; a batch is answered at once or lost
 CARRY_WAIT_S = 3.2  # s a report waits for its answer; its worker gives up after 4
@@ -120,6 +121,22 @@
 ERROR_MACHINES = 3  # sound machines on which a job failed before the job is to blame
 ERROR_BACKOFF_S = 2.0  # s; pause of a job that is to blame, doubled with each failure
 ERROR_BACKOFF_MAX_S = 60.0  # s
+DEAF_MISSES = 3  # answers in a row without effect before a machine counts as deaf: one may be lost
+DEAF_LEAST_S = 6.0  # s over which they go; a worker that gets none reports every 5 s
+DEAF_ANSWERS = 2  # answers within one lease that its end shows to be lost
+DEAF_LEASE_PART = 0.3  # part of the lease over which these went: not all at once, after a pause
+DEAF_QUICK_S = 4.4  # s; a report this soon after an answer shows that it was not given up, for
+# which a worker takes 4 s and one more
+DEAF_FOLLOWS_S = 2.0  # s within which a machine that was sent to another node asks there
+DEAF_QUICK = 3  # such reports in a row that end the doubt; connections may break now and then
+DEAF_TRUSTED = 32  # tasks at once after which a machine that hears again has no bound any more
+DEAF_LEASES = 1.5  # leases for which a deaf machine may heal before it goes back
+DEAF_MANY_LEASES = 4.0  # the same where many are: it is the way to them, and that comes back
+DEAF_PART = 0.05  # part of the fleet that may go back as deaf at a time, and that is not many
+BACK_S = 0.4  # s from the first report after a silence, which may have been held back, to work;
+# a worker sends two that it has to send half a second apart
+STOOD_STILL_S = 3.0  # s between two checks of silence, half a second apart, after which the silence
+# of others says only that this process stood still
 DRAIN_SPARE_S = 2.0  # s before a spot machine's end at which saving must be over
 
 # --- planning --------------------------------------------------------------------------
--- a/coveflow/core/fleet.py
+++ b/coveflow/core/fleet.py
@@ -278,7 +278,9 @@
         homes = [
             m
             for m in machines
-            if m.up and not (m.returning or m.draining or m.suspect) and m.ends_at is None
+            if m.up
+            and not (m.returning or m.draining or m.suspect or m.hearing.deaf)
+            and m.ends_at is None
         ]
         candidates: list[tuple[float, Machine, list[Spec]]] = []
         for m in homes:
@@ -338,7 +340,7 @@
         free = used = 0.0
         up: dict[tuple[str, bool], int] = {}
         for m in machines:
-            if m.returning or not m.up:
+            if m.returning or not m.up or m.hearing.deaf:
                 continue
             key = (m.flavor.name, m.spot)
             up[key] = up.get(key, 0) + 1
@@ -390,7 +392,8 @@
     """
     places: dict[str, int] = {}
     for m in machines:
-        if m.up and not m.returning and not m.draining and m.allowed(spec):
+        usable = m.up and not (m.returning or m.draining or m.hearing.deaf)
+        if usable and m.allowed(spec):
             zone = m.zone if spec.one_zone else ""
             fits = fit(m.flavor.cpus, m.flavor.ram_gb, m.flavor.accelerators, spec)
             places[zone] = places.get(zone, 0) + fits
--- a/coveflow/core/model.py
+++ b/coveflow/core/model.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from coveflow import constants as c
+from coveflow.core.hearing import Hearing
 
 
 class Spec(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -225,6 +226,7 @@
     up: bool = False
     heard: float = 0.0  # when a report last came
     vouched: float = 0.0  # when a node that cannot be asked last told that it hears it
+    back_at: float = -1e9  # when it was first heard after a silence
     answered: float = 0.0
     born: float = 0.0
     idle_since: float | None = None
@@ -234,6 +236,7 @@
     draining: bool = False  # its tasks move elsewhere, then it goes back
     drained: bool = False  # by an operator's word, which outlives the leader
     suspect: bool = False
+    hearing: Hearing = msgspec.field(default_factory=Hearing)
     failed_jobs: dict[str, int] = {}  # failures by job since a task last completed here
     failed_at: float = -1e9  # when a task last failed here
     images: OrderedDict[str, float] = msgspec.field(default_factory=OrderedDict)
@@ -275,6 +278,11 @@
             and (spec.spot or not self.spot)
         )
 
+    @property
+    def newest(self) -> tuple[int, int]:
+        """Session and number of the newest report heard: no other report is evidence."""
+        return (self.tenure, self.counter)
+
     def record(self) -> list[Any]:
         """What the store keeps: who may act on it and what may be running there."""
         jobs: dict[str, dict[int, list[int]]] = {}
--- a/coveflow/core/scene.py
+++ b/coveflow/core/scene.py
@@ -169,7 +169,7 @@
     least -= EPS
     reserves: dict[str, Use] = {}
     for m in state.machines:
-        if not m.up or m.returning or m.draining or m.suspect:
+        if not m.up or m.returning or m.draining or m.suspect or m.hearing.doubtful:
             continue
         found.total += m.flavor.cpus
         found.free += m.cpus
@@ -179,7 +179,8 @@
         if reserve is None:
             reserve = reserves[m.flavor.name] = reserve_of(m.flavor, state.uses)
         size = (m.cpus, m.ram_gb, m.accelerators)
-        room = Room(m, *size, slot_limit - len(m.placements), size, reserve)
+        slots = min(slot_limit, m.hearing.trust or slot_limit) - len(m.placements)
+        room = Room(m, *size, slots, size, reserve)
         if m.ends_at is not None:
             found.leaving.append(room)
             continue
--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -17,7 +17,7 @@
 from coveflow.daemon.commands import Heard, Vouched
 from coveflow.daemon.owner import Owner
 from coveflow.logs import Log
-from coveflow.membership.carry import Carried, Carrier, Inlet
+from coveflow.membership.carry import Carried, Carrier, Inlet, Promise
 from coveflow.membership.peers import RELAY, Peers
 from coveflow.net.http import Unavailable
 from coveflow.settings import Settings
@@ -47,6 +47,11 @@
     number: int = 0  # of the mail that carries it; 0: not written yet
 
 
+def _told_of(report: Report) -> Heard:
+    """A report that is evidence and gets no answer from the leader."""
+    return Heard(report, Promise((report.machine, report.tenure, report.counter), []), asked=False)
+
+
 class Agents:
     def __init__(
         self,
@@ -72,6 +77,7 @@
         self.relay_until: dict[str, float] = {}
         self.kept: dict[str, float] = {}  # machines this node keeps alive for the leader
         self.took: dict[str, float] = {}  # machines whose reports came here
+        self.newest: dict[str, tuple[int, int, float]] = {}  # tenure, counter, when, of the newest
         self.reports = Accrual(settings.params.workers.report_s, c.CUT_REPORTS_S)
         self.arrivals = Accrual(settings.params.workers.report_s, c.CUT_REPORTS_S)  # and batches
         self.cut_since: float | None = None
@@ -93,19 +99,32 @@
             report = wire.read_report(body)
         except wire.Malformed as error:
             return web.Response(status=400, body=wire.error(str(error)))
-        self.heard_at = now = self.clock()
-        self.reports.seen(now)
-        self.arrivals.seen(now)
-        self.cut_since = None
+        now = self.clock()
         self.owner.around.meters.add("reports")
         if not self.may_keep_alive():
             return web.Response(status=503)
+        if not self._fresh(report, now):
+            return await self._copy(report)
+        self.heard_at = now
+        self.reports.seen(now)
+        self.arrivals.seen(now)
+        self.cut_since = None
+        mate = self._way_out(now)
+        if mate:
+            sent = self._send_to(report, mate, now)
+            if sent is not None:
+                self.took.pop(report.machine, None)
+                return sent
         homes = self.owner.around.tuning.homes
         if homes:
             home = self._elsewhere(report, now)
             if home:
                 self.redirected[report.machine] = now
                 self.took.pop(report.machine, None)
+                if self.owner.leading:
+                    self.owner.put(_told_of(report))
+                else:
+                    self.carrier.saw(report.machine, body)
                 return web.Response(status=421, body=wire.redirect_answer(home))
         self.took[report.machine] = now
         if self.owner.leading:
@@ -117,6 +136,39 @@
             return await self._carried(report, body, now)
         return await self._follow(report, body, now)
 
+    def _fresh(self, report: Report, now: float) -> bool:
+        """Whether the report is newer than all that this node had of the machine lately."""
+        known = self.newest.get(report.machine)
+        if known is not None and (report.tenure, report.counter) <= known[:2]:
+            return False
+        self.newest[report.machine] = (report.tenure, report.counter, now)
+        return True
+
+    async def _copy(self, report: Report) -> web.Response:
+        """A late copy, or a machine that counts from the beginning: nothing here goes by it.
+
+        It once took the answer from the report that waited, and told the leader by way of others
+        that the machine is heard. A machine that is there after all goes back as silent.
+        """
+        if self.owner.leading:
+            answer = await self.lead(report, patient=False)
+            return web.Response(status=503 if answer is None else 200, body=answer)
+        return web.Response(body=wire.orders_answer(self.owner.inbox.view.epoch, []))
+
+    def _way_out(self, now: float) -> str:
+        """A node that workers are better sent to: this one hears neither the store nor any other.
+
+        It could keep their leases alive for as long as its last word of cancellations allows, half
+        a minute in which nothing they end is told and nothing begins. But a zone's only controller
+        cannot tell whether its zone is cut, and its workers then find nobody else.
+        """
+        if self._store_fresh(now) or not self.peers.lost():
+            return ""
+        me, zone = self.settings.name, self.settings.zone
+        return self.peers.mate_lost_with_all(
+            [name for name, where in self.zones.items() if where == zone and name != me]
+        )
+
     def cut(self) -> bool:
         """No worker reaches this node any more, though enough of them should."""
         now = self.clock()
@@ -185,7 +237,7 @@
         if lost:
             sent = None
             if self._kept_from_all(now) and leader in self.owner.inbox.members:
-                sent = self._to_leader(report, leader, now)
+                sent = self._send_to(report, leader, now)
             return sent or await self._past_leader(report, now)
         answer = None
         if not self._refused():
@@ -198,7 +250,7 @@
             # Filters between the nodes refuse at once, and the end of the leader's hold need not be
             # waited for: nothing started for 6.5 s. If all ended instead, its workers are back here
             # a second later.
-            sent = self._to_leader(report, leader, now)
+            sent = self._send_to(report, leader, now)
             if sent is not None:
                 return sent
             if self.clock() - now < c.RELAY_TIMEOUT_S / 2:
@@ -227,14 +279,14 @@
         """Whether this node is kept from all others, but not from the store."""
         return self.peers.refused() and self._store_fresh(self.clock())
 
-    def _to_leader(self, report: Report, leader: str, now: float) -> web.Response | None:
-        """Send the worker to the leader itself; None if it came back from there."""
+    def _send_to(self, report: Report, node: str, now: float) -> web.Response | None:
+        """Send the worker to that node; None if it came back from where it was sent last."""
         machine = report.machine
         if now - self.redirected.get(machine, -1e9) >= c.BOUNCE_S and (
             now >= self.relay_until.get(machine, -1e9)
         ):
             self.redirected[machine] = now
-            return web.Response(status=421, body=wire.redirect_answer(leader))
+            return web.Response(status=421, body=wire.redirect_answer(node))
         self.relay_until[machine] = now + RELAY_SPELL_S
         return None
 
@@ -268,6 +320,8 @@
             report = wire.read_report(raw)
             key = (report.machine, report.tenure, report.counter)
             self.owner.put(Heard(report, self.inlet.promise(data["boot"], key)))
+        for raw in data.get("seen", ()):
+            self.owner.put(_told_of(wire.read_report(raw)))
         await asyncio.sleep(0)  # the owner works through them first
         answers = self.inlet.collect(data["boot"])
         answer: dict[str, Any] = {"epoch": self.owner.leading, "answers": answers}
@@ -433,8 +487,8 @@
                 orders.append(Order("stop", t.job, t.task, t.number))
         return orders
 
-    def hears(self) -> dict[str, float]:
-        """Ages of the reports this node answered itself, for the leader's silence check."""
+    def hears(self) -> dict[str, tuple[float, int, int]]:
+        """Age, tenure and counter of reports this node answered itself, for the leader's check."""
         now = self.clock()
         limit = self.settings.params.workers.lease_s
         for table in (self.kept, self.redirected, self.mailed_at, self.took):
@@ -442,10 +496,13 @@
                 del table[name]
         for name in [n for n, until in self.relay_until.items() if now > until + c.BOUNCE_S]:
             del self.relay_until[name]
-        found = {name: now - at for name, at in self.kept.items()}
+        # A machine that counts from the beginning is not ignored for good.
+        for name in [n for n, row in self.newest.items() if now - row[2] > 2 * limit]:
+            del self.newest[name]
+        found = {n: (now - at, *self.newest.get(n, (0, 0))[:2]) for n, at in self.kept.items()}
         if self.owner.leading and now - self.store.contact > c.PEER_FRESH_S:
             # Without the store it may be deposed and not know: its workers are not silent.
             for m in self.owner.book.machines.values():
                 if m.counter >= 0 and now - m.heard < limit:
-                    found[m.id] = now - m.heard
+                    found[m.id] = (now - m.heard, *m.newest)
         return found
--- a/coveflow/daemon/around.py
+++ b/coveflow/daemon/around.py
@@ -24,7 +24,8 @@
     wall: Callable[[], float]  # s, time of day
     meters: Meters
     effects: Callable[[str, Any], None] = lambda kind, data: None
-    peer_hears: Callable[[str, float], bool] = lambda machine, within: False
+    # Whether another node had a report of the machine newer than that, within so many s.
+    peer_hears: Callable[[str, float, tuple[int, int]], bool] = lambda name, within, newest: False
     peers_known: Callable[[], bool] = lambda: True
     peer_fresh: Callable[[str], bool] = lambda name: True  # whether that controller answers
     # Another interface's news of final records: (a number used once, records by job) to the keys
--- a/coveflow/daemon/commands.py
+++ b/coveflow/daemon/commands.py
@@ -46,6 +46,17 @@
     until: float
     for_commit: bool
     since: float = 0.0
+    again: list[asyncio.Future[bytes | None]] = []  # the same report, sent once more
+
+    def waits(self) -> bool:
+        """Whether anybody still waits for the answer."""
+        return not all(reply.done() for reply in (self.reply, *self.again))
+
+    def give(self, answer: bytes | None) -> None:
+        """Answer it, wherever it came from; None: not by this node."""
+        for reply in (self.reply, *self.again):
+            if not reply.done():
+                reply.set_result(answer)
 
 
 # --- commands --------------------------------------------------------------------------
@@ -55,6 +66,7 @@
     report: Report
     reply: asyncio.Future[bytes | None]
     patient: bool = True  # the answer may wait for new work
+    asked: bool = True  # no: its machine was sent to another node, which is answer enough
 
 
 class InboxRows(msgspec.Struct, eq=False):
--- a/coveflow/daemon/front.py
+++ b/coveflow/daemon/front.py
@@ -90,7 +90,8 @@
         if not self.owner.inbox.flavors:
             return False
         stale = self.clock() - self.store.contact > STALE_S
-        return not (stale and self.peers.store_works())
+        # One that lost the others as well can answer nobody, and kept its users for the whole cut.
+        return not (stale and (self.peers.store_works() or self.peers.lost()))
 
     # --- submissions -------------------------------------------------------------------
 
--- a/coveflow/daemon/keeper.py
+++ b/coveflow/daemon/keeper.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from coveflow import constants as c
@@ -30,6 +31,8 @@
         self.goals = scene.goals_of(self.params.objectives)
         workers = self.params.workers
         self.zones = Zones(workers.cancel_s - c.CONTACT_MARGIN_S + c.SILENT_MARGIN_S)
+        self.ticked: float | None = None
+        self.woke = -math.inf  # when this process went on after it had stood still
 
     def rent(self, now: float) -> None:
         """Ask for what the last plan lacks, give back what is idle, move what pays to move."""
@@ -100,6 +103,12 @@
 
     def tick(self, now: float) -> None:
         """What time may cause: machines are given back, and nothing else."""
+        if self.ticked is not None and now - self.ticked > c.STOOD_STILL_S:
+            # Its clock ran on and nothing was read meanwhile: all looked silent for 15 s, and the
+            # whole fleet was to go back. Only that others led by then saved it.
+            self.woke = now
+            log.warning("stood still", for_s=round(now - self.ticked, 1))
+        self.ticked = now
         self._look_at_zones(now)
         silent = self._silent(now)
         if silent:
@@ -113,6 +122,9 @@
         ]
         if suspects:
             self.give_back(suspects, "suspected faulty")
+        deaf = self._deaf(now)
+        if deaf:
+            self.give_back(deaf, "does not hear")
         late = self.book.fleet.overdue(now, {f.name: f for f in self.inbox.flavors.values()})
         if late:
             self.give_back(late, "never came up")
@@ -136,19 +148,22 @@
             for job in self.book.jobs.values()
             if job.cancelled is not None and job.cancelled < late
         }
+        waits_for, _ = self._many_deaf()
         silent: list[str] = []
         lost: dict[str, list[Machine]] = {}  # silent ones of zones that are gone
         for m in self.book.machines.values():
             if m.returning:
                 continue
-            quiet = now - (m.heard if m.heard > m.vouched else m.vouched)
+            quiet = now - max(m.heard, m.vouched, self.woke)
             if quiet > c.NOTICE_SILENT_S:  # hardly any is, and only those cost another look
                 quiet = min(quiet, now - self.zones.heard_again(m.zone))
             if quiet > c.NOTICE_SILENT_S:  # the shortest of all the patiences below
                 taken = m.ends_at is not None and now > m.ends_at
                 waits = patience if m.counter >= 0 else unheard
                 late = quiet > waits and not self.zones.put_off(m.zone)
-                if (late or taken) and not self.around.peer_hears(m.id, workers.lease_s):
+                # What a new leader hears of them shows no life, but they are no silent zone.
+                late = late and not (m.id in waits_for and now - m.hearing.came < patience)
+                if (late or taken) and not self.around.peer_hears(m.id, workers.lease_s, m.newest):
                     if not taken and self.zones.get(m.zone).state == GONE:
                         lost.setdefault(m.zone, []).append(m)
                     else:
@@ -161,6 +176,29 @@
             silent += self._of_a_lost_zone(name, machines, set(silent))
         return silent
 
+    def _many_deaf(self) -> tuple[set[str], int]:
+        """Deaf machines where they are many: it is the way to them that is cut, and comes back.
+
+        With it how many may go back at a time.
+        """
+        machines = self.book.machines.values()
+        deaf = {m.id for m in machines if m.hearing.deaf}
+        most = max(1, int(c.DEAF_PART * len(machines)))
+        return (deaf if len(deaf) > most else set(), most)
+
+    def _deaf(self, now: float) -> list[str]:
+        """Those that hear nothing for long, never more than a part of the fleet at a time."""
+        many, most = self._many_deaf()
+        wait_s = self.params.workers.lease_s * (c.DEAF_MANY_LEASES if many else c.DEAF_LEASES)
+        deaf = [
+            (m.hearing.deaf_since, m.id, m.returning)
+            for m in self.book.machines.values()
+            if m.hearing.deaf_since is not None
+        ]
+        due = sorted(row for row in deaf if not row[2] and now - row[0] > wait_s)
+        room = most - sum(returning for _, _, returning in deaf)
+        return [name for _, name, _ in due[: max(0, room)]]
+
     def _of_a_lost_zone(self, name: str, machines: list[Machine], chosen: set[str]) -> list[str]:
         """The next of its machines to go back: those whose work is most worth beginning anew."""
         zone = self.zones.get(name)
@@ -210,8 +248,8 @@
         if m is None:
             return
         waiting = book.held.pop(name, None)
-        if waiting is not None and not waiting.reply.done():
-            waiting.reply.set_result(None)
+        if waiting is not None:
+            waiting.give(None)
         book.lost(m, f"its machine was {why}")
         m.up = False
         book.drop[name] = None
--- a/coveflow/daemon/owner.py
+++ b/coveflow/daemon/owner.py
@@ -267,8 +267,7 @@
                 command.reply.set_result(None)
         for waiting in held:
             # Not entitled any more: the worker tries the next node.
-            if not waiting.reply.done():
-                waiting.reply.set_result(None)
+            waiting.give(None)
         self.around.effects("stepped_down", why)
 
     # --- what is due -------------------------------------------------------------------
--- a/coveflow/daemon/reports.py
+++ b/coveflow/daemon/reports.py
@@ -47,38 +47,37 @@
             # A late report of a machine that was proven gone proves nothing any more.
             reply.set_result(None)
             return
+        if m is not None and (report.tenure, report.counter) <= m.newest and m.counter >= 0:
+            self._late(m, report, reply)
+            return
         if m is None:
-            flavor = self.inbox.flavors.get(report.type)
-            if flavor is None:
+            m = self._new(report, now)
+            if m is None:
                 reply.set_result(None)
                 return
-            m = book.machines[report.machine] = Machine(
-                report.machine, report.address, flavor, report.zone, report.spot
-            )
-            m.born = now
-            m.owner = self.around.settings.name
-            book.fleet.up(m.id, now)
-            log.info("machine up", machine=m.id, type=m.flavor.name, zone=m.zone)
-            book.tell("up", **machine_fields(m))
+        elif report.tenure < m.tenure:
+            # On record with a later session, though this leader has yet to hear it.
+            reply.set_result(self.around.answer(book.leading, []))
+            return
         if m.address != report.address:
             m.address = report.address
         m.up = True
         waiting = book.held.pop(m.id, None)
-        if waiting is not None and not waiting.reply.done():
+        if waiting is not None:
             # The worker gave that report up; an answer would not be read.
-            waiting.reply.set_result(None)
-        if (report.tenure, report.counter) <= (m.tenure, m.counter) and m.counter >= 0:
-            # Late: its task list is as old as the report. It is answered, not believed.
-            reply.set_result(self.around.answer(book.leading, []))
-            return
-        if report.tenure < m.tenure:
-            reply.set_result(self.around.answer(book.leading, []))
-            return
-        if report.tenure > m.tenure:
+            waiting.give(None)
+        rose = report.tenure > m.tenure
+        if rose:
             # A new tenure: the worker has killed and forgotten all it ran before.
             book.lost(m, "the machine's lease ran out")
             m.tenure = report.tenure
-        m.counter, m.epoch, m.heard = report.counter, report.epoch, now
+        self._listens(m, report, rose and m.counter >= 0, command.asked, now)
+        m.counter, m.epoch = report.counter, report.epoch
+        alive = report.epoch >= book.leading
+        if alive:
+            # Sent since this lead began. An older one may be a copy, of a machine that is gone:
+            # what it says was so, but it keeps nothing alive. If it is none, the next one tells.
+            self._alive(m, rose, now)
         if book.unheard:
             self._first_heard(m.id, now)
         if report.notice_s is not None:
@@ -88,10 +87,79 @@
                 book.tell("notice", machine=m.id, in_s=report.notice_s)
             m.ends_at = ends if m.ends_at is None else min(m.ends_at, ends)
         news = self._tasks(m, report, now)
-        if m.returning and m.silent:
+        if m.returning and m.silent and alive:
             self._spare(m)
         self._drain(m, now)
-        self._answer_or_hold(m, report, reply, news, now, command.patient)
+        if not command.asked:
+            m.hearing.sent_away(report, now)
+            reply.set_result(None)
+            return
+        patient = command.patient and not m.hearing.missed and not m.hearing.deaf and alive
+        self._answer_or_hold(m, report, reply, news, now, patient)
+
+    def _alive(self, m: Machine, rose: bool, now: float) -> None:
+        """It is there. After a silence, reports that were held back come first, and all at once.
+
+        Work placed by these once met a session that was over. A moment later it is given some.
+        """
+        patience, since = self.book.patience, now - m.back_at
+        if rose or now - m.heard < patience or c.BACK_S <= since < patience:
+            m.heard = now
+            return
+        m.vouched = now
+        if since >= patience:
+            m.back_at = now
+
+    def _late(self, m: Machine, report: Report, reply: asyncio.Future[bytes | None]) -> None:
+        """No news of the machine, and nothing that another report waits for is touched.
+
+        A copy of it may come from seconds to leases later. It is answered, not believed: its task
+        list is as old as the report. The very report that waits, which a home sends again when it
+        saw no answer, gets what that one gets.
+        """
+        held = self.book.held.get(m.id)
+        if held is not None and (report.tenure, report.counter) == m.newest:
+            held.again.append(reply)
+            return
+        reply.set_result(self.around.answer(self.book.leading, []))
+
+    def _new(self, report: Report, now: float) -> Machine | None:
+        """A machine that is not on record; None while its type is not known.
+
+        A copy may also name one that was returned before this leader led. Until a report shows that
+        it was sent since then, it is no more alive than those on record at the beginning.
+        """
+        book = self.book
+        flavor = self.inbox.flavors.get(report.type)
+        if flavor is None:
+            return None
+        m = book.machines[report.machine] = Machine(
+            report.machine, report.address, flavor, report.zone, report.spot
+        )
+        m.born = now
+        # One that was rented in this lead and boots can't have been returned before it.
+        m.heard = now if book.fleet.knows(m.id) and not report.epoch else book.since
+        m.owner = self.around.settings.name
+        book.fleet.up(m.id, now)
+        log.info("machine up", machine=m.id, type=m.flavor.name, zone=m.zone)
+        book.tell("up", **machine_fields(m))
+        return m
+
+    def _listens(self, m: Machine, report: Report, rose: bool, asked: bool, now: float) -> None:
+        """Whether what it is told reaches the machine; if not, what never began there goes on."""
+        hearing, lease_s = m.hearing, self.params.workers.lease_s
+        if hearing.reported(report, rose, asked, lease_s, self.book.leading, now):
+            log.warning(
+                "machine does not hear" if hearing.deaf else "machine hears again",
+                machine=m.id, tasks=len(m.placements), tenure=report.tenure,
+            )  # fmt: skip
+            self.book.tell("deaf" if hearing.deaf else "hears", machine=m.id)
+            self.book.pass_due = True
+        if hearing.deaf:
+            # Their absence, in a report later than the answer that told of them, is the proof.
+            for p in m.placements.values():
+                if not p.state and not p.stopping:
+                    self.book.stop(p, 0.0, "its machine does not hear")
 
     def _spare(self, m: Machine) -> None:
         """It was to go back for its silence, and the cloud has not answered yet: it may stay.
@@ -220,7 +288,10 @@
         patient: bool,
     ) -> None:
         held = Held(report, reply, 0.0, news, now)
-        if news:
+        if now - m.back_at < self.book.patience:
+            # Just heard again: its lease is about to end, and an answer that waits comes too late.
+            self.book.pass_due = self.book.pass_due or news
+        elif news:
             # The commit of these ends will often bring the next run for the same worker.
             held.until = now + c.HOLD_ANSWER_S
             self.book.pass_due = True
@@ -237,11 +308,12 @@
         return m.ends_at is None and not m.returning and m.cpus >= 0.5
 
     def _answer(self, m: Machine, held: Held) -> None:
-        if held.reply.done():
+        if not held.waits():
             return
         orders = self._orders(m, held.report)
         m.answered = self.around.clock()
-        held.reply.set_result(self.around.answer(self.book.leading, orders))
+        m.hearing.answered(held.report, orders, m.answered)
+        held.give(self.around.answer(self.book.leading, orders))
 
     def _orders(self, m: Machine, report: Report, peek: bool = False) -> list[Order]:
         """What the worker should do, given what it last said. `run` and `clear` go only here."""
@@ -289,10 +361,9 @@
             if held is None:
                 continue
             m = book.machines.get(machine)
-            if held.reply.done() or m is None:
+            if m is None or not held.waits():
                 del book.held[machine]
-                if not held.reply.done():
-                    held.reply.set_result(None)
+                held.give(None)
                 continue
             if held.for_commit:
                 # With the ends goes the next run: an answer sent between the commit of an end
--- a/coveflow/lab/check.py
+++ b/coveflow/lab/check.py
@@ -15,6 +15,7 @@
 from coveflow.core.model import Spec
 from coveflow.settings import Team
 
+CALM_S = 75.0  # s without an answer about a job, once all troubles are over, that forget it
 FORGOTTEN_S = 90.0  # s for which every poll for a job may fail while most others are answered
 
 
@@ -54,6 +55,7 @@
         self.used: dict[str, list[float]] = {}  # CPUs and accelerators of a team
         self.polls: Counter[bool] = Counter()
         self.starts = 0
+        self.calm_at = math.inf  # when the last trouble was over
         self.broken: list[Broken] = []
 
     def read(self, rows: Iterable[dict[str, Any]]) -> list[Broken]:
@@ -65,6 +67,9 @@
         return self.finish(at)
 
     def finish(self, at: float) -> list[Broken]:
+        for name, known in self.jobs.items():
+            if known.accepted and not known.told:
+                self._calm(known, name, at)
         for job, task in list(self.live):
             self._not_cancelled(job, task, at)
         if not self.starts:
@@ -186,10 +191,19 @@
             if state == "cancelled":
                 known.told_at = min(known.told_at, at)
 
+    def _calm(self, known: _Job, job: str, at: float) -> None:
+        """However others fare: no question about the job was answered since all is well again."""
+        silent = at - max(known.answered_at, self.calm_at)
+        if silent > CALM_S:
+            self._broken("forgotten", at, f"no answer about {job} for {silent:.0f} s of calm")
+            known.answered_at = at
+
     def _polled(self, known: _Job, job: str, code: int, at: float) -> None:
         if code == 404 and known.accepted:
             self._broken("forgotten", at, f"{job} was accepted and now gets 404")
         good = code in (200, 404)
+        if not good and known.accepted:
+            self._calm(known, job, at)
         self.polls[good] += 1
         if good or not known.answered_at:
             known.answered_at = at
--- a/coveflow/lab/serve.py
+++ b/coveflow/lab/serve.py
@@ -382,7 +382,7 @@
                 return
             sent = clock()
             report = worker.report(sent)
-            status, body = await self._post(worker.zone, node, far.report_body(report))
+            status, body = await self._post(worker, node, far.report_body(report))
             now = clock()
             if not worker.alive:
                 return
@@ -436,8 +436,8 @@
             await asyncio.sleep(0.02)
             self._gangs(clock())
 
-    async def _post(self, zone: str, node: str, body: bytes) -> tuple[int, bytes]:
-        return await self._ask(zone, node, "POST", wire.BEAT, body)
+    async def _post(self, worker: Worker, node: str, body: bytes) -> tuple[int, bytes]:
+        return await self._ask(worker.zone, node, "POST", wire.BEAT, body)
 
     async def _ask(
         self, zone: str, node: str, method: str, path: str, body: bytes | None
--- a/coveflow/membership/carry.py
+++ b/coveflow/membership/carry.py
@@ -42,6 +42,7 @@
     def __init__(self, peers: Peers, leader: Callable[[], str], epoch: Callable[[], int]) -> None:
         self.peers, self.leader, self.epoch = peers, leader, epoch
         self.waiting: dict[str, Carried] = {}
+        self.seen: dict[str, bytes] = {}  # newest reports of machines that were sent elsewhere
         self.posts: set[asyncio.Task[None]] = set()
         self.something = asyncio.Event()
 
@@ -61,10 +62,20 @@
             if self.waiting.get(key[0]) is mine:
                 del self.waiting[key[0]]
 
+    def saw(self, machine: str, body: bytes) -> None:
+        """A report whose machine was sent elsewhere: the leader hears of it, and answers nothing.
+
+        A machine that no answer reaches goes from node to node, each of which sends it away: the
+        leader heard of it once in 25 s, and gave a zone that was cut one way back as silent.
+        """
+        if len(self.seen) < c.CARRY_SEEN:
+            self.seen[machine] = body
+            self.something.set()
+
     async def run(self) -> None:
         polled = 0.0
         while True:
-            if not self.waiting:
+            if not self.waiting and not self.seen:
                 self.something.clear()
                 await self.something.wait()
             peer = self.peers.get(self.leader())
@@ -74,10 +85,12 @@
                 to = (peer.boot, self.epoch())
                 new = [one for one in self.waiting.values() if one.sent_to != to]
                 now = self.peers.clock()
-                if new or now - polled >= c.CARRY_POLL_S:
+                if new or self.seen or now - polled >= c.CARRY_POLL_S:
                     polled = now
                     await self._room()
                     self._post(peer, to, _batch(new))
+            else:
+                self.seen.clear()  # of no use when the leader is heard again
             await asyncio.sleep(c.CARRY_PACE_S)
 
     def _give_up(self) -> None:
@@ -107,7 +120,10 @@
     async def _carry(self, peer: Peer, to: Lead, batch: list[Carried]) -> None:
         sent = self.peers.clock()
         ask = sent - peer.answered >= c.PING_S * c.CARRY_ASKS
+        seen, self.seen = list(self.seen.values()), {}
         body = {"boot": self.peers.boot, "reports": [one.body for one in batch], "ask": ask}
+        if seen:
+            body["seen"] = seen
         try:
             status, answer = await peer.client.request(
                 "POST", CARRY, body=wire.pack(body), timeout_s=c.CARRY_TIMEOUT_S
--- a/coveflow/membership/peers.py
+++ b/coveflow/membership/peers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import aiohttp
@@ -20,6 +20,9 @@
 
 log = Log("coveflow.peers")
 
+NEVER = (1e9, 0, -1)  # of a machine that a peer did not tell of
+LOST_TOGETHER_S = 2.5  # s within which silences began together: two pings of far nodes and a bit
+LOST_S = 1.0  # s of it, after which the others doubt this node too and send it no worker
 PING, RELAY, CARRY = "/ping", "/relay", "/carry"
 
 
@@ -33,7 +36,7 @@
     leading: bool = False
     store_age: float = 1e9
     refuses: bool = False  # the last thing sent there was refused, at once
-    hears: dict[str, float] = {}
+    hears: dict[str, tuple[float, int, int]] = {}  # age, tenure and counter of reports it took
     counts: dict[str, list[int]] = {}
 
 
@@ -72,13 +75,17 @@
         peer = self.peers.get(name)
         return peer is not None and self.clock() - peer.answered < c.PEER_FRESH_S
 
-    def hears(self, machine: str, within: float) -> bool:
-        """Whether some reachable peer had a report of the machine lately."""
-        return any(
-            self.fresh(name)
-            and peer.hears.get(machine, 1e9) + self.clock() - peer.answered < within
-            for name, peer in self.peers.items()
-        )
+    def hears(self, machine: str, within: float, newest: tuple[int, int] = (0, -1)) -> bool:
+        """Whether some reachable peer had a report of the machine lately, newer than `newest`.
+
+        A node that sees a late copy cannot know: it goes by session and number, as the caller does.
+        """
+        for name, peer in self.peers.items():
+            age, tenure, counter = peer.hears.get(machine, NEVER)
+            late = age + self.clock() - peer.answered >= within
+            if not late and (tenure, counter) > newest and self.fresh(name):
+                return True
+        return False
 
     def all_fresh(self) -> bool:
         """Whether every other node answered just now."""
@@ -111,6 +118,24 @@
             return -1e9
         return min((p.answered for p in self.peers.values()), default=-1e9)
 
+    def lost(self) -> bool:
+        """Whether nothing is heard of any other node, none of which refuses, for a while."""
+        now = self.clock()
+        since = [self.suspicion.silent_since(name) for name in self.peers]
+        if not self.suspicion.alone(now) or any(peer.refuses for peer in self.peers.values()):
+            return False
+        return all(at is not None and now - at >= LOST_S for at in since)
+
+    def mate_lost_with_all(self, mates: Iterable[str]) -> str:
+        """One of these that fell silent together with all others, or "".
+
+        Nodes of the same zone that were heard to the last show that it is not the zone that is cut,
+        but this node's own ways. Mates that had ended before show nothing.
+        """
+        ages = self.suspicion.heard(self.clock())
+        age, name = min(((ages[mate], mate) for mate in mates if mate in ages), default=(1e9, ""))
+        return name if age - min(ages.values(), default=0.0) < LOST_TOGETHER_S else ""
+
     def look(self) -> None:
         """Raise and drop doubts by what came in; each change is told in the log."""
         for name, doubt, there in self.suspicion.look(self.clock()):
--- /dev/null
+++ b/tests/test_hearing.py
@@ -0,0 +1,248 @@
+"""What reports prove: late copies, machines that hear nothing, machines that count from one."""
+
+import pytest
+
+from coveflow import constants as c
+from coveflow.core.model import Flavor, Report, TaskReport
+from coveflow.daemon import commands as cm
+from coveflow.daemon import owner as o
+from coveflow.lab.replies import Reply
+from coveflow.membership.carry import Promise
+from coveflow.settings import Tuning
+from coveflow.state import keys as sk
+from tests.samples import flavor, spec
+from tests.world import LEASE_S, REPORT_S, node_settings
+
+EPOCH = 4
+
+
+class Leader:
+    """An owner that leads, with one job whose task is on machine n-1, restored from its records."""
+
+    def __init__(self, restored: bool = True) -> None:
+        self.now, self.effects = 100.0, []
+        self.owner = o.Owner(
+            node_settings("a", [{"name": "blue"}]), Tuning(), lambda: self.now, lambda: self.now
+        )
+        self.owner.around.effects = lambda kind, data: self.effects.append((kind, data))
+        self.owner.around.answer = lambda epoch, orders: (epoch, orders)
+        self.owner.inbox.flavors = {flavor().name: flavor()}
+        self.book = self.owner.book
+        self.book.leading, self.book.since = EPOCH, self.now
+        self.owner.inbox.view = sk.View(EPOCH, "a", ["a"], 1)
+        if restored:
+            self.heard(1, 1, EPOCH)
+            self.job = self.book.jobs.get("j-000001")
+
+    def heard(self, tenure, counter, epoch, tasks=(), machine="n-1", patient=False, **more):
+        answers: list = []
+        kind: Flavor = flavor()
+        report = Report(
+            machine, "10.0.0.1:9", kind.name, "north", False, tenure, counter, epoch, None,
+            list(tasks),
+        )  # fmt: skip
+        self.owner.work([cm.Heard(report, Reply(answers.append), patient, **more)])
+        return answers
+
+    def give(self, task: int = 0) -> TaskReport:
+        """A task placed on n-1 and committed; as its machine reports it."""
+        job = self.book.jobs.get("j-000001")
+        if job is None:
+            self.book.adopt(cm.Accepted(spec("j-000001", tasks=8), self.now, 1, None))
+            job = self.book.jobs["j-000001"]
+        p = job.place(self.book.machines["n-1"], self.now)
+        p.committed = True
+        return TaskReport(p.job, p.task, p.number, "running")
+
+    def tick(self, seconds: float) -> list:
+        self.effects.clear()
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.5
+            self.owner.work([cm.Tick()])
+        return [name for kind, names in self.effects if kind == "return" for name in names]
+
+
+def test_a_late_copy_takes_no_answer_from_the_report_that_waits():
+    """It once took the held answer away and marked the machine up before it was compared."""
+    leader = Leader()
+    waiting = leader.heard(1, 5, EPOCH, patient=True)
+    assert waiting == []  # held for new work
+    assert leader.heard(1, 3, EPOCH) == [(EPOCH, [])]
+    assert waiting == [] and leader.book.held["n-1"].waits()
+    leader.give()
+    leader.now += 0.3
+    leader.book.wake("n-1")
+    leader.owner.work([])
+    ((_, orders),) = waiting
+    assert [order.verb for order in orders] == ["run"]
+
+
+def test_the_same_report_sent_again_by_its_home_gets_the_answer_that_waits():
+    leader = Leader()
+    first = leader.heard(1, 5, EPOCH, patient=True)
+    again = leader.heard(1, 5, EPOCH)
+    assert first == again == []
+    leader.give()
+    leader.book.wake("n-1")
+    leader.owner.work([])
+    assert len(first) == 1 and first == again and first[0][1]
+
+
+def test_what_was_sent_before_a_lead_keeps_no_machine_alive_and_saves_none():
+    """Copies of a dead machine's reports, each newer than the last, come to a new leader."""
+    leader = Leader(restored=False)
+    leader.heard(2, 10, EPOCH - 1)  # not on record: it may have been returned by an older leader
+    m = leader.book.machines["n-1"]
+    returned, counter = [], 10
+    while not returned and leader.now < 200.0:
+        counter += 1
+        leader.heard(2, counter, EPOCH - 1)
+        returned = leader.tick(3.0)
+    assert returned == ["n-1"] and leader.now <= 100.0 + LEASE_S + 5.0
+    leader.heard(2, counter + 1, EPOCH - 1)
+    assert m.returning  # an old word does not save it
+    leader.heard(2, counter + 2, EPOCH)
+    assert not m.returning  # this one was sent since the lead began
+
+
+def test_a_machine_that_is_gone_is_brought_back_by_no_report():
+    leader = Leader()
+    leader.owner.work([cm.Returned(["n-1"])])
+    assert leader.heard(7, 900, EPOCH) == [None]
+    assert "n-1" not in leader.book.machines or not leader.book.machines["n-1"].up
+
+
+@pytest.mark.parametrize("tenure", [1, 3])
+def test_a_machine_that_counts_from_one_again_is_not_ignored_for_good(tenure):
+    """Back at once with its old or a first session: whatever that means, it goes back or serves."""
+    leader = Leader()
+    leader.heard(3, 50, EPOCH)
+    on = leader.give()
+    leader.heard(3, 51, EPOCH, [on])
+    for counter in range(1, 12):
+        leader.now += REPORT_S
+        assert leader.heard(tenure, counter, EPOCH) == [(EPOCH, [])]
+    assert leader.book.machines["n-1"].placements  # its absence there proves nothing
+    assert leader.tick(LEASE_S) == ["n-1"]
+
+
+def miss(leader, counter, tasks=(), gap_s=5.0, **more):
+    leader.now += gap_s
+    return leader.heard(1, counter, EPOCH, tasks, **more)
+
+
+def test_orders_told_and_never_seen_make_a_machine_deaf_and_its_tasks_go_elsewhere():
+    leader = Leader()
+    leader.give()
+    m = leader.book.machines["n-1"]
+    assert leader.heard(1, 2, EPOCH)[0][1]  # told
+    for counter in (3, 4):
+        assert miss(leader, counter)[0][1]  # one answer may be lost
+        assert not m.hearing.deaf and m.placements
+    miss(leader, 5)
+    assert m.hearing.deaf
+    # The absence in a report later than the answer that told of it: it never began.
+    job = leader.book.jobs["j-000001"]
+    assert not m.placements and not job.placed and job.floor == 1
+
+
+def test_one_lost_answer_or_a_slow_image_is_no_deafness():
+    leader = Leader()
+    on = leader.give()
+    leader.heard(1, 2, EPOCH)
+    miss(leader, 3)
+    pulling = TaskReport(on.job, on.task, on.number, "pulling")
+    for counter in range(4, 30):
+        miss(leader, counter, [pulling], gap_s=REPORT_S)
+    m = leader.book.machines["n-1"]
+    assert not m.hearing.deaf and not m.hearing.missed and m.placements
+
+
+def test_a_session_that_ends_though_its_reports_were_answered_shows_a_deaf_machine():
+    leader = Leader()
+    on = leader.give()
+    for counter in range(2, 5):
+        miss(leader, counter, [on])
+    m = leader.book.machines["n-1"]
+    leader.now += 1.0
+    leader.heard(2, 5, EPOCH)
+    assert m.hearing.deaf and not m.placements
+
+
+def test_a_cut_a_hang_or_a_leader_that_stood_still_shows_no_deaf_machine():
+    leader = Leader()
+    leader.heard(1, 2, EPOCH)
+    leader.now += 1.5 * LEASE_S
+    leader.heard(1, 3, EPOCH)  # held back on the way
+    leader.heard(1, 4, EPOCH)
+    leader.heard(2, 5, EPOCH)
+    assert not leader.book.machines["n-1"].hearing.deaf
+
+
+def test_a_machine_that_no_node_reaches_goes_from_one_to_the_next_and_is_known():
+    leader = Leader()
+    for counter in range(2, 6):
+        miss(leader, counter, asked=False)
+    assert leader.book.machines["n-1"].hearing.deaf
+
+
+def test_a_deaf_machine_heals_in_steps_or_goes_back():
+    leader = Leader()
+    leader.give()
+    for counter in range(2, 6):
+        miss(leader, counter)
+    m = leader.book.machines["n-1"]
+    assert m.hearing.deaf
+    for counter in range(6, 6 + c.DEAF_QUICK):
+        miss(leader, counter, gap_s=REPORT_S)
+    assert not m.hearing.deaf and m.hearing.trust == 1
+    on = leader.give()
+    assert leader.heard(1, 20, EPOCH)[0][1]
+    miss(leader, 21, [on], gap_s=REPORT_S)
+    assert m.hearing.trust == 2
+
+    leader = Leader()
+    returned, counter = [], 2
+    while not returned and leader.now < 300.0:
+        counter += 1
+        leader.heard(1, counter, EPOCH, asked=False)
+        returned = leader.tick(4.0)
+    assert returned == ["n-1"] and leader.now < 100.0 + 4 * LEASE_S
+
+
+def test_many_deaf_machines_are_a_way_that_is_cut_and_do_not_go_back():
+    leader = Leader()
+    names = [f"n-{i}" for i in range(1, 21)]
+    counter = 1
+    while leader.now < 100.0 + 3 * LEASE_S:
+        counter += 1
+        for name in names:
+            leader.heard(1, counter, EPOCH, machine=name, asked=False)
+        assert leader.tick(4.0) == []
+    returned = leader.tick(0.5)
+    for _ in range(20):
+        counter += 1
+        for name in names:
+            leader.heard(1, counter, EPOCH, machine=name, asked=False)
+        returned += leader.tick(4.0)
+    assert len(returned) == 1  # a twentieth at a time, until the cloud has answered
+
+
+def test_a_leader_that_stood_still_gives_nothing_back_for_the_silence_of_that_time():
+    """A frozen leader woke after 14.7 s and meant to give its whole fleet back."""
+    leader = Leader()
+    leader.tick(1.0)
+    leader.now += 3 * LEASE_S
+    assert leader.tick(LEASE_S) == []
+    assert leader.tick(5.0) == ["n-1"]  # silent since
+
+
+def test_a_told_of_report_is_evidence_and_gets_no_answer():
+    leader = Leader()
+    on = leader.give()
+    ready: list = []
+    done = TaskReport(on.job, on.task, on.number, "exited", "done")
+    report = Report("n-1", "10.0.0.1:9", flavor().name, "north", False, 1, 9, EPOCH, None, [done])
+    leader.owner.work([cm.Heard(report, Promise(("n-1", 1, 9), ready), asked=False)])
+    assert not leader.book.machines["n-1"].placements and ready == []
