A job that never began comes first with a part; bad input costs nothing; largest jobs are told

Cause (by reading; users: half of a class's largest jobs, begun within four minutes): best-effort work waits for as long as deadline work that can still gain comes, so a guest's large array may never begin. Jobs that fail everywhere got all their tasks placed at each try. One report that could not be read kept its whole batch from the leader; tasks that run unasked were logged at each report.

Change: after 150 s without any beginning a job comes first with an eighth of its tasks; a job to blame tries one task at a time; fields out of range are malformed; bad rows are left out, told once a minute. lab timeline: largest jobs by class with the longest time to begin; exit status 1 after 240 s.

--- a/coveflow/cli/timeline.py
+++ b/coveflow/cli/timeline.py
@@ -28,7 +28,8 @@
 
     LOGS are printouts at `info`, or folders of a lab's logs. Times are s after the fault. Served
     is the part done of what was accepted and not cancelled; started and in time stand beside it.
-    Exit status 1 where a class or a team is served less than `--least`.
+    "largest" are the tenth of a class's jobs with the most CPUs. Exit status 1 where a class, a
+    team or a class's largest are served less than `--least`, or the largest begin after 240 s.
     """
     faults: list[tuple[float, str]] = []
     if day is not None:
@@ -42,7 +43,7 @@
         raise UserError("no line of a controller's log is in there; was LOG_LEVEL error?")
     told = tl.report(events, faults)
     served = tl.served(events)
-    low = [name for name, share in served.items() if share.served < least]
+    low = tl.unserved(served, least)
     if as_json:
         print(json.dumps(told | {"under_least": low}))
         raise SystemExit(1 if low else 0)
@@ -55,12 +56,12 @@
         table.add_row(f"{row['at']:g}", row["fault"], *cells)
     console.print(table)
     shares = Table(box=None)
-    for title in ("class or team", "jobs", "started", "served", "cancelled", "in time"):
+    for title in ("class or team", "jobs", "started", "served", "cancelled", "in time", "begun by"):
         shares.add_column(title)
     for name, s in served.items():
         shares.add_row(
             name, str(s.jobs), f"{s.started / max(1, s.jobs):.2f}", f"{s.served:.2f}",
-            str(s.cancelled), f"{s.in_time / s.due:.2f}" if s.due else "",
+            str(s.cancelled), f"{s.in_time / s.due:.2f}" if s.due else "", f"{s.begin_s:g} s",
         )  # fmt: skip
     console.print(shares)
     console.print(
@@ -68,7 +69,7 @@
         f" {told['returned']} machines returned as silent"
     )
     if low:
-        console.print(f"served less than {least:g}: {', '.join(low)}")
+        console.print(f"served less than {least:g}, or begun too late: {', '.join(low)}")
         raise SystemExit(1)
 
 
--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -141,6 +141,9 @@
 
 # --- planning --------------------------------------------------------------------------
 BUCKET_S = 2.5  # s; steps in which a pool's future is planned, half a cycle
+BEGIN_S = 150.0  # s after which a job of which nothing ever began comes first; it has to begin
+# within 240, and rooms that fall free, images and a change of the lead take a minute and more
+BEGIN_PART = 0.125  # part of its tasks that it begins with then
 EVENT_PASS_S = 0.15  # s between two cheap passes, so that exits share one
 READY_S = 30.0  # s of coming work for which free accelerators are kept; about a boot or a fetch
 ASKED_PARTS = 6  # parts of the time over which recent demand is counted; their median is taken,
--- a/coveflow/core/model.py
+++ b/coveflow/core/model.py
@@ -171,6 +171,11 @@
     def complete(self) -> bool:
         return len(self.done) == self.spec.tasks
 
+    @property
+    def begun(self) -> bool:
+        """Whether any task of it was ever on a machine; known to every leader."""
+        return bool(self.done or self.placed or self.floor)
+
     def refill(self) -> None:
         """Recompute the free tasks from what is done and placed."""
         self.free = [t for t in range(self.spec.tasks - 1, -1, -1) if self.may_free(t)]
--- a/coveflow/core/planner.py
+++ b/coveflow/core/planner.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from coveflow import constants as c
 from coveflow.core.model import Job, Spec
 from coveflow.core.placing import SLACK, hold, start_now
 from coveflow.core.scene import (
@@ -58,10 +59,15 @@
     back to the rest, however late it is.
     The rest goes by arrival less the guessed run time, as long ones have
     to start earlier to be over at the same time. In arrival order alone they ended the day.
+
+    Whatever has not begun at all for long comes first (ours): with enough of the others, a large
+    job without a deadline never began. It begins with a part, see `first_part`, and then waits on.
     """
 
     def rank(job: Job) -> tuple[int, int, bool, float]:
         spec, arrived = job.spec, state.arrived[job.id]
+        if overdue(job, state):
+            return (-1, 0, False, arrived)
         if job.id in inside:
             return (0, 0, False, arrived)
         guess = guesses.get(job.id, 60.0)
@@ -79,6 +85,30 @@
     )
 
 
+def overdue(job: Job, state: State) -> bool:
+    """Whether nothing of the job has ever begun, though it came long ago.
+
+    Without overload nothing waits that long, and the order is that of the others.
+    """
+    return not job.begun and state.now - state.arrived[job.id] > c.BEGIN_S
+
+
+def first_part(job: Job, want: int, state: State) -> int:
+    """How many tasks it may start now.
+
+    What has waited too long to begin gets a part, or one job would take all that falls free from
+    those before it. A job that fails wherever it runs tries one task at a time: 400 of them took
+    rooms and fetched images again and again until their user cancelled it.
+    """
+    if job.spec.kind == "gang":
+        return want
+    if job.errors and not job.done:
+        return min(want, 1 - len(job.placed))
+    if overdue(job, state):
+        return min(want, math.ceil(job.spec.tasks * c.BEGIN_PART))
+    return want
+
+
 def plan(
     state: State,
     tuning: Tuning,
@@ -113,7 +143,7 @@
         spec = job.spec
         guess = guesses.get(job.id, 60.0)
         allowed = under_limit(spec, len(job.free), usage, state.teams)
-        want = min(len(job.free), allowed)
+        want = first_part(job, min(len(job.free), allowed), state)
         if spec.kind == "gang" and (want < spec.tasks or job.placed):
             continue  # whole or not at all
         first_in_line = job.id in inside or spec.workload in state.goals
--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import msgspec
@@ -16,7 +16,7 @@
 from coveflow.core.suspicion import Accrual
 from coveflow.daemon.commands import Heard, Vouched
 from coveflow.daemon.owner import Owner
-from coveflow.logs import Log
+from coveflow.logs import Log, Seldom
 from coveflow.membership.carry import Carried, Carrier, Inlet, Promise
 from coveflow.membership.peers import RELAY, Peers
 from coveflow.net.http import Unavailable
@@ -82,6 +82,7 @@
         self.arrivals = Accrual(settings.params.workers.report_s, c.CUT_REPORTS_S)  # and batches
         self.cut_since: float | None = None
         self.inlet = Inlet(clock)
+        self.malformed = Seldom()
         inbox = owner.inbox
         self.carrier = Carrier(peers, lambda: inbox.view.leader, lambda: inbox.view.epoch)
         self.zones = {m.name: m.zone for m in settings.members} | {settings.name: settings.zone}
@@ -98,6 +99,7 @@
         try:
             report = wire.read_report(body)
         except wire.Malformed as error:
+            self._unreadable(error)
             return web.Response(status=400, body=wire.error(str(error)))
         now = self.clock()
         self.owner.around.meters.add("reports")
@@ -313,22 +315,35 @@
             return 503, b""
         try:
             data = wire.unpack(body)
-        except wire.Malformed:
+            boot, raws = str(data["boot"]), list(data["reports"])
+        except (wire.Malformed, KeyError, TypeError):
             return 400, b""
         self.arrivals.seen(self.clock())
-        for raw in data["reports"]:
-            report = wire.read_report(raw)
+        for report in self._read(raws):
             key = (report.machine, report.tenure, report.counter)
-            self.owner.put(Heard(report, self.inlet.promise(data["boot"], key)))
-        for raw in data.get("seen", ()):
-            self.owner.put(_told_of(wire.read_report(raw)))
+            self.owner.put(Heard(report, self.inlet.promise(boot, key)))
+        for report in self._read(data.get("seen", ())):
+            self.owner.put(_told_of(report))
         await asyncio.sleep(0)  # the owner works through them first
-        answers = self.inlet.collect(data["boot"])
+        answers = self.inlet.collect(boot)
         answer: dict[str, Any] = {"epoch": self.owner.leading, "answers": answers}
         if data.get("ask"):
             answer["info"] = self.peers.info()  # in a ping's place
         return 200, wire.pack(answer)
 
+    def _read(self, raws: Iterable[bytes]) -> Iterator[Report]:
+        """Those that can be read: one that can't once kept its whole batch from the leader."""
+        for raw in raws:
+            try:
+                yield wire.read_report(raw)
+            except wire.Malformed as error:
+                self._unreadable(error)
+
+    def _unreadable(self, error: Exception) -> None:
+        count = self.malformed.due(self.clock())
+        if count:
+            log.warning("reports that can't be read", count=count, why=error)
+
     async def lead(self, report: Report, patient: bool = True) -> bytes | None:
         reply: asyncio.Future[bytes | None] = asyncio.get_running_loop().create_future()
         self.owner.put(Heard(report, reply, patient))
@@ -453,7 +468,12 @@
     async def answer_mail(self, member: str, value: dict[str, Any]) -> None:
         """On the leader: take in mailed reports and write the answers back."""
         self.owner.put(Vouched(value["alive"]))
-        reports = [wire.read_mail_report(name, row) for name, row in value["reports"].items()]
+        reports = []
+        for name, row in value["reports"].items():
+            try:
+                reports.append(wire.read_mail_report(name, row))
+            except (TypeError, ValueError) as error:
+                self._unreadable(error)
         tasks = [asyncio.create_task(self.lead(report, patient=False)) for report in reports]
         if not tasks:
             return
--- a/coveflow/daemon/reports.py
+++ b/coveflow/daemon/reports.py
@@ -13,7 +13,7 @@
 from coveflow.daemon.book import Book
 from coveflow.daemon.commands import Heard, Held
 from coveflow.daemon.inbox import Inbox
-from coveflow.logs import Log
+from coveflow.logs import Log, Seldom
 
 log = Log("coveflow.owner")
 
@@ -30,6 +30,7 @@
         self.due: list[tuple[float, int, str]] = []  # ends of waiting, a heap
         self.due_no = itertools.count()
         self.any_heard = False
+        self.unasked = Seldom()
 
     # --- evidence ----------------------------------------------------------------------
 
@@ -329,9 +330,12 @@
                     orders.append(Order("clear", *key))
             elif p is None:
                 if key not in m.clearing and report.epoch == self.book.leading:
-                    log.warning(
-                        "task runs unasked", machine=m.id, job=t.job, task=t.task, number=t.number
-                    )
+                    count = 0 if peek else self.unasked.due(self.around.clock())
+                    if count:
+                        log.warning(
+                            "tasks run unasked", count=count, machine=m.id, job=t.job, task=t.task,
+                            number=t.number,
+                        )  # fmt: skip
                     orders.append(Order("stop", *key))
             elif p.stopping and (t.state != "flushing" or p.grace_s <= 0):
                 orders.append(Order("stop", *key, grace_s=p.grace_s))
--- a/coveflow/logs.py
+++ b/coveflow/logs.py
@@ -41,6 +41,24 @@
         self._logger.exception(event, extra={"fields": fields})
 
 
+class Seldom:
+    """Says when something that comes thousands of times is told: once in `every_s`, with how often.
+
+    Wrong input that comes again and again must neither fill the log nor cost a process its time.
+    """
+
+    def __init__(self, every_s: float = 60.0) -> None:
+        self.every_s, self.count, self.told = every_s, 0, -1e9
+
+    def due(self, now: float) -> int:
+        """How often it came since it was told, this time included; 0: not to be told yet."""
+        self.count += 1
+        if now - self.told < self.every_s:
+            return 0
+        self.told, count, self.count = now, self.count, 0
+        return count
+
+
 def _word(value: Any) -> str:
     """One value of a line; what has spaces or quotes is quoted, so that lines can be split."""
     if isinstance(value, float):
--- a/coveflow/wire/__init__.py
+++ b/coveflow/wire/__init__.py
@@ -16,6 +16,7 @@
 PRIORITIES = {"production": 3, "high": 2, "normal": 1, "low": 0}
 JOB_ID = re.compile(r"j-[0-9]{1,40}")
 PIECE = re.compile(r"(j-[0-9]{1,40})/([0-9]{1,6})")
+COUNTS = 2**64  # below it are counts, tokens, tries and sessions
 WORK, BEAT, UP = "/work", "/agent/beat", "/up"
 ABORT = "/abort"
 COMMANDS, INSPECT = "/commands", "/inspect"
@@ -194,11 +195,22 @@
 
 def read_report(body: bytes) -> Report:
     b = _convert(body, _Beat)
+    for name, text in {"host": b.host, "endpoint": b.endpoint, "flavor": b.flavor}.items():
+        if not text or len(text) > 200:
+            raise Malformed(name)
+    counts = {"tenure": (b.tenure, 1), "counter": (b.counter, 0), "epoch": (b.epoch, 0)}
+    for name, (number, least) in counts.items():
+        if not least <= number < COUNTS:
+            raise Malformed(name)
+    if b.warning_s is not None and not math.isfinite(b.warning_s):
+        raise Malformed("warning_s")
     tasks = []
     for p in b.pieces:
         match = PIECE.fullmatch(p.piece)
         if not match:
             raise Malformed("piece")
+        if not 0 <= p.number < COUNTS:
+            raise Malformed("try")
         tasks.append(TaskReport(match[1], int(match[2]), p.number, p.status, p.cause, bool(p.kept)))
     return Report(
         machine=b.host,
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -186,3 +186,33 @@
     agents.redirected["n-1"] = 99.0  # it has just come back from the leader
     assert beat(agents) == {"epoch": 3, "orders": []} and peer.leading
     assert now.t < 104.0
+
+
+def test_a_report_that_cannot_be_read_keeps_no_others_from_the_leader(caplog):
+    now = SimpleNamespace(t=100.0)
+    agents = follower(lambda mail: {}, lambda: now.t)
+    owner, heard = agents.owner, []
+    owner.book.leading = 3
+    owner.put = heard.append
+    good = cbor2.dumps(BEAT)
+    bad = [cbor2.dumps(BEAT | {"tenure": 0}), b"\xff", 7]
+    body = cbor2.dumps({"boot": "x", "reports": [*bad, good], "seen": [b"", good]})
+    for _ in range(50):
+        assert asyncio.run(agents.carried("", body))[0] == 200
+    assert len(heard) == 100 and [h.asked for h in heard[:2]] == [True, False]
+    assert asyncio.run(agents.carried("", cbor2.dumps({"reports": 3})))[0] == 400
+    told = [r for r in caplog.records if r.getMessage() == "reports that can't be read"]
+    assert len(told) == 1  # a minute
+
+
+def test_a_copy_here_keeps_nothing_alive_and_tells_nobody_that_its_machine_is_heard():
+    agents = follower(lambda mail: {"boot": "", "answers": {}}, lambda: 100.0)
+    agents.store.contact = -1e9  # the store does not answer this node: it keeps leases alive
+    assert beat(agents, counter=9) == {"epoch": 3, "orders": []}
+    assert agents.hears() == {"n-1": (0.0, 1, 9)}
+    agents.kept.clear()
+    assert beat(agents, counter=8) == {"epoch": 3, "orders": []}
+    assert agents.hears() == {} and not agents.carrier.waiting
+    peers = agents.peers
+    peers.peers["c"] = SimpleNamespace(hears={"n-1": (0.0, 1, 9)}, answered=100.0)
+    assert peers.hears("n-1", 10.0, (1, 8)) and not peers.hears("n-1", 10.0, (1, 9))
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -39,6 +39,7 @@
     assert (fault["lost"], fault["returned"], told["returned"]) == (1, 1, 1)
     assert told["served"]["tally"] == {
         "jobs": 1, "started": 1, "done": 1, "cancelled": 0, "due": 1, "in_time": 1,
+        "begin_s": 0.2,
     }  # fmt: skip
 
 
@@ -51,3 +52,20 @@
     told = tl.report(tl.read([tmp_path]), [])
     assert [fault["fault"] for fault in told["faults"]] == ["the lead changes"]
     assert told["faults"][0]["decision"] == 0.8
+
+
+def test_the_largest_of_a_class_have_to_begin_and_half_of_each_group_to_be_served():
+    rows = [
+        tl.Event(float(i), "h", "job taken in",
+                 {"job": f"j-{i}", "tasks": str(i), "workload": "tally", "team": "blue"})
+        for i in range(1, 21)
+    ]  # fmt: skip
+    for i in range(1, 21):
+        rows.append(tl.Event(i + 1.0, "h", "tasks placed", {"job": f"j-{i}", "tasks": "1"}))
+        rows.append(tl.Event(300.0, "h", "job over", {"job": f"j-{i}", "status": "done"}))
+    assert tl.served(rows)["largest tally"].jobs == 2
+    assert tl.unserved(tl.served(rows), 0.5) == []
+    late = [e for e in rows if not (e.what == "tasks placed" and e.fields["job"] == "j-20")]
+    assert tl.unserved(tl.served(late), 0.5) == ["largest tally"]
+    lost = [e for e in rows if not (e.what == "job over" and e.fields["job"] in ("j-19", "j-20"))]
+    assert tl.unserved(tl.served(lost), 0.5) == ["largest tally"]
