--- a/coveflow/daemon/front.py
+++ b/coveflow/daemon/front.py
@@ -14,6 +14,7 @@
 from coveflow.core.model import Spec, placeable
 from coveflow.daemon import commands as cm
 from coveflow.daemon import owner as o
+from coveflow.daemon.inbox import UNREADABLE
 from coveflow.logs import Log
 from coveflow.membership.peers import Peers
 from coveflow.net.http import Unavailable
@@ -218,7 +219,12 @@
             return checked.known
         value, rev = await self.store.get(sk.JOB + name)
         if value is not None:
-            return cm.accepted_of(msgspec.convert(value["spec"], Spec), value, rev)
+            try:
+                return cm.accepted_of(msgspec.convert(value["spec"], Spec), value, rev)
+            except UNREADABLE:
+                # Accepted it is, whatever else its record holds.
+                ended = isinstance(value, dict) and value.get("cancel") is not None
+                return {"status": "cancelled" if ended else "queued", "done": 0}
         # Jobs only ever move from the one key to the other, so this order misses none.
         value, _ = await self.store.get(sk.OLD + name)
         if value is not None:
--- a/coveflow/daemon/inbox.py
+++ b/coveflow/daemon/inbox.py
@@ -16,6 +16,9 @@
 
 log = Log("coveflow.owner")
 
+# What reading a bad record raises.
+UNREADABLE = (msgspec.ValidationError, KeyError, TypeError, AttributeError)
+
 
 class Inbox:
     """Changed by rows of the store only, each newer than the last of its key."""
@@ -85,8 +88,13 @@
             # The watch may tell a job's last change after its end was committed here; a job
             # taken in again that way once conflicted with its own final record.
             return
-        spec = known.spec if known is not None else msgspec.convert(value["spec"], Spec)
-        entry = accepted_of(spec, value, rev)
+        try:
+            spec = known.spec if known is not None else msgspec.convert(value["spec"], Spec)
+            entry = accepted_of(spec, value, rev)
+        except UNREADABLE as error:
+            # It is known to its user by the store's word; no other job may wait for its sake.
+            log.error("job record can't be read", job=name, why=error)
+            return
         self.accepted[name] = entry
         self.on_job(entry)
 
--- a/coveflow/lab/check.py
+++ b/coveflow/lab/check.py
@@ -56,6 +56,7 @@
         self.polls: Counter[bool] = Counter()
         self.starts = 0
         self.calm_at = math.inf  # when the last trouble was over
+        self.silent_s = 0.0  # longest time in that calm without an answer about a job
         self.broken: list[Broken] = []
 
     def read(self, rows: Iterable[dict[str, Any]]) -> list[Broken]:
@@ -178,6 +179,7 @@
             self._broken("invented", at, f"{job} gets {code} and was never submitted")
             return
         known.accepted = True
+        known.answered_at = max(known.answered_at, at)
         state = row["state"]
         if known.told and state != known.told:
             self._broken("went_back", at, f"{job} was {known.told}, now {state}")
@@ -202,6 +204,9 @@
         if code == 404 and known.accepted:
             self._broken("forgotten", at, f"{job} was accepted and now gets 404")
         good = code in (200, 404)
+        if known.accepted and at > self.calm_at:
+            silent = at - max(known.answered_at, self.calm_at)
+            self.silent_s = max(self.silent_s, silent)
         if not good and known.accepted:
             self._calm(known, job, at)
         self.polls[good] += 1
--- a/coveflow/lab/worlds.py
+++ b/coveflow/lab/worlds.py
@@ -57,6 +57,7 @@
     returned: int = 0  # machines given back as silent
     whole_s: float = 0.0  # s from the first trouble until as much runs again as before
     moved: list[float] = field(default_factory=list)  # s until deaf machines' tasks ran elsewhere
+    silent_s: float = 0.0  # longest without an answer about a job after the last trouble
     deaf: int = 0  # machines given back as deaf
     plain: bool = False  # played without what the kind is there to show
     failures: list[str] = field(default_factory=list)  # errors in the controllers' logs
@@ -146,6 +147,7 @@
     why = [why for name, why in lines.returned.items() if hosts[name].gone < INF]
     told.returned = sum(reason.startswith("silent") for reason in why)
     told.deaf = why.count("does not hear")
+    told.silent_s = world.checker.silent_s
     told.failures, told.lost, told.moved = lines.errors, lines.lost, _moved(world)
     return told
 
@@ -314,6 +316,7 @@
                 "errors": sum(len(t.failures) for t in mine),
                 "gap_p50": part(gaps, 0.5), "gap_p99": part(gaps, 0.99), "gap_most": max(gaps),
                 "whole_p50": part(whole, 0.5), "whole_most": max(whole),
+                "silent_most": max(t.silent_s for t in mine),
                 "moved_p50": part(moved, 0.5), "moved_p99": part(moved, 0.99),
             }
         )  # fmt: skip
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -128,3 +128,17 @@
         assert await f.status("j-8") is None
 
     asyncio.run(go())
+
+
+def test_a_record_that_cannot_be_read_is_known_and_hides_no_other_job():
+    """It ended each leader's lead as it began, and was a 500 to its user."""
+    f = front()
+    know(f, "j-1")
+    f.store.keys[sk.JOB + "j-2"] = ({"spec": {"id": 7}}, 6)
+    f.owner.inbox.view = sk.View(1, "a", ["a"], 1)
+    f.owner.book.leading = 1
+    bad = (sk.JOB + "j-2", {"spec": {"id": 7}}, 6)
+    know(f, "j-3")
+    f.owner.work([cm.InboxRows([bad, (sk.JOB + "j-4", f.store.keys[sk.JOB + "j-1"][0], 7)])])
+    assert f.owner.leading == 1 and set(f.owner.inbox.accepted) >= {"j-1", "j-4"}
+    assert polls(f, ["j-1", "j-2", "j-3"]) == ["queued"] * 3
