--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -20,7 +20,7 @@
         st.sampled_from(
             [
                 "crash", "crash_all", "take_over", "deaf", "cut_node", "cut_worker", "store",
-                "cancel", "sick", "vanish",
+                "cancel", "sick", "vanish", "deaf_worker", "copies", "reborn",
             ]
         ),
         st.integers(0, 5),
@@ -62,7 +62,8 @@
 
         def act(kind=kind, node=node, heir=heir, index=index, length=length) -> None:
             workers = world.workers
-            if not workers and kind in ("cut_worker", "sick", "vanish"):
+            of_workers = ("cut_worker", "sick", "vanish", "deaf_worker", "reborn")
+            if not workers and kind in of_workers:
                 return  # all went back idle
             if kind == "crash":
                 world.crash(node)
@@ -85,6 +86,13 @@
                 world.sick(workers[index % len(workers)], length)
             elif kind == "vanish":
                 world.cloud.fail(workers[index % len(workers)].worker.name, world.now)
+            elif kind == "deaf_worker":
+                name = workers[index % len(workers)].worker.name
+                world.deaf_workers[name] = world.now + length
+            elif kind == "reborn":
+                world.reborn(workers[index % len(workers)], length < 15.0)
+            elif kind == "copies":
+                world.copies_until = world.now + length
             elif kind == "store":
                 world.store_down_until = world.now + length
             elif kind == "cancel":
@@ -94,7 +102,7 @@
 
 
 @settings(
-    max_examples=60,
+    max_examples=90,
     deadline=None,
     derandomize=True,
     suppress_health_check=list(HealthCheck),
--- a/tests/world.py
+++ b/tests/world.py
@@ -96,6 +96,8 @@
             **settings,
         )
         self.rng = rng
+        self.deaf_workers: dict[str, float] = {}  # nothing comes to them, until when
+        self.copies_until = 0.0  # reports come again, late, to any node
         for i in range(machines):
             cloud.begin(kind.name, zones[i % 2], False, 1, 0.0)
         self.elect("a")
@@ -132,10 +134,31 @@
             self.at(2.0 + self.rng.random() * 5, lambda: self.write(writes, copies))
         super().commit(name, owner, txn)
 
+    def deliver(self, post: w.Post, report: Report, sent: float, target: str) -> None:
+        if self.now < self.copies_until and self.rng.random() < 0.3:
+            node = self.rng.choice(self.names)
+            late = self.rng.uniform(1.0, 3 * LEASE_S)
+            self.at(late, lambda: super(World, self).deliver(post, report, sent, node))
+        super().deliver(post, report, sent, target)
+
+    def _redirected(self, post: w.Post, counter: int, leader: str) -> None:
+        if self.now >= self.deaf_workers.get(post.worker.name, 0.0):
+            super()._redirected(post, counter, leader)
+
+    def reborn(self, post: w.Post, first: bool) -> None:
+        """The machine is back at once, with nothing on it, and counts its reports from one."""
+        worker = post.worker
+        worker._lose(self.now)
+        worker.counter, worker.epoch, worker.lease_from = 0, 0, self.now
+        worker.tenure = 1 if first else worker.tenure
+        post.waiting = 0
+
     def answered(
         self, post: w.Post, report: Report, sent: float, epoch: int, orders: list[Order]
     ) -> None:
         worker = post.worker
+        if self.now < self.deaf_workers.get(worker.name, 0.0):
+            return
         if (
             post.waiting == report.counter
             and worker.tenure == report.tenure
