--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -21,6 +21,7 @@
 HEDGE_READ = 8  # writes at most that are read to tell whether the first copy applied
 WATCH_HOLD_S = 1.0  # s; how long a watch waits; its return is what proves store contact
 WATCH_PACE_S = 0.1  # s; least time between two watches, so bursts share one answer
+WATCH_PART = 0.25  # part of a node's requests for the watch, which every change ends
 RETRY_S = 0.25  # s; first pause after a failed call, doubled up to RETRY_MAX_S
 RETRY_MAX_S = 2.0  # s; an outage's end is noticed within this
 LEADER_SHARE = 0.6  # part of the store's budgets that the leader may use
@@ -54,6 +55,8 @@
 SUBMIT_LEAST = 8  # submissions that may wait however small the share is
 POLL_QUEUE = 2_000  # polls that wait for the store's word; more are told to come back
 POLL_PACE_S = 0.05  # s between two checks that polls share, so that they leave requests over
+POLL_PART = 0.25  # part of a node's requests that they may use: 20 a second of one with 20 left its
+# submissions waiting for 0.15 s each
 
 # --- peers and reports -----------------------------------------------------------------
 PING_S = 0.5  # s between pings to each peer
--- a/coveflow/daemon/front.py
+++ b/coveflow/daemon/front.py
@@ -291,7 +291,7 @@
                         _follow(other, future)
                 elif not future.done():
                     future.set_result(Checked(not changed, compared[name]))
-            await asyncio.sleep(c.POLL_PACE_S)
+            await asyncio.sleep(max(c.POLL_PACE_S, self.store.pace_s(c.POLL_PART)))
 
     def counts(self, name: str) -> tuple[int, int, int]:
         """Done, running and (of another interface's jobs) placed tasks, as last heard."""
--- a/coveflow/state/store.py
+++ b/coveflow/state/store.py
@@ -67,6 +67,10 @@
         self.changes.set_rate(self.limits.write_rps * share)
         self.hedges.set_rate(self.limits.write_rps * share * c.HEDGE_PART)
 
+    def pace_s(self, part: float) -> float:
+        """s between two requests of a kind that is to use that part of this node's share."""
+        return 1.0 / (part * self.requests.rate)
+
     async def call(
         self,
         method: str,
@@ -194,7 +198,9 @@
         first = asyncio.ensure_future(self._send(guards, writes))
         first.add_done_callback(_seen)
         done, _ = await asyncio.wait({first}, timeout=c.HEDGE_S)
-        if done or min(self.hedges.refill(), self.changes.refill()) < len(writes):
+        # One that still waits for its turn here is not late there; twice would be later yet.
+        spare = self.requests.refill() >= 1.0
+        if done or not spare or min(self.hedges.refill(), self.changes.refill()) < len(writes):
             return await first
         self.hedges.level -= len(writes)
         await self._pay(writes)  # what is there is taken without waiting
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -31,6 +31,9 @@
         if self.down:
             raise Unavailable("down")
 
+    def pace_s(self, part):
+        return 0.0
+
     async def get(self, key):
         self._called()
         await asyncio.sleep(0)
