Submissions wait by team and class; what can't be written is told when to come again

A queue that was full gave 503 to whoever came next, whichever team; one team's flood kept the others out. Deficit round-robin by team, then class; room for a team with less than its part of the queue; 429 with Retry-After by what waits and the share of changes, spread. Polls and the watch pace themselves only where more than half of what may be sent at once is gone.

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -52,6 +52,7 @@
 # --- users -----------------------------------------------------------------------------
 SUBMIT_WAIT_S = 3.0  # s of this node's share of the store's changes that submissions may wait for;
 # users wait 5 s for an answer
+RETRY_AFTER_MOST = 30  # s; users heed no more
 SUBMIT_LEAST = 8  # submissions that may wait however small the share is
 POLL_QUEUE = 2_000  # polls that wait for the store's word; more are told to come back
 POLL_PACE_S = 0.05  # s between two checks that polls share, so that they leave requests over
--- a/coveflow/daemon/front.py
+++ b/coveflow/daemon/front.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -11,6 +13,7 @@
 
 from coveflow import constants as c
 from coveflow import wire
+from coveflow.core import admission
 from coveflow.core.model import Spec, placeable
 from coveflow.daemon import commands as cm
 from coveflow.daemon import owner as o
@@ -51,7 +54,9 @@
         self.settings, self.owner, self.store, self.peers = settings, owner, store, peers
         self.clock, self.wall, self.beat = clock, wall, beat
         self.teams = {team.name: team for team in settings.params.teams}
-        self.waiting: list[tuple[str, Any, asyncio.Future[int | None]]] = []
+        self.waiting: admission.Queue[tuple[str, Any, asyncio.Future[int | None]]] = (
+            admission.Queue()
+        )
         self.batching: asyncio.Task[None] | None = None
         self.asked: dict[str, asyncio.Future[Checked]] = {}  # polls that share the next check
         self.checking: asyncio.Task[None] | None = None
@@ -82,6 +87,8 @@
             return answer(404, wire.error("no such path or job"))
         except TooLarge:
             return web.Response(status=413, headers={"Connection": "close"})
+        except TooMany as error:
+            return web.Response(status=429, headers={"Retry-After": str(error.after_s)})
         except Unavailable as error:
             log.debug("not answered", method=method, path=path, why=error)
             return web.Response(status=503, headers=BUSY)
@@ -119,7 +126,7 @@
             spec = msgspec.structs.replace(spec, types=types)
         record = {"spec": msgspec.to_builtins(spec), "at": self.wall()}
         asked = self.clock()
-        accepted = await self.accept(spec.id, record)
+        accepted = await self.accept(spec.id, record, (spec.team, spec.workload))
         self.owner.around.meters.span("submission committed", self.clock() - asked)
         if accepted:
             log.info("job accepted", job=spec.id)
@@ -143,13 +150,19 @@
             return "more than the team's limit"
         return ""
 
-    async def accept(self, name: str, record: Any) -> bool:
-        """Commit with what else is waiting; False when the job is known already."""
-        if len(self.waiting) >= max(c.SUBMIT_LEAST, self.store.changes.rate * c.SUBMIT_WAIT_S):
-            # More than the budget can write in time: told at once, not held until it fails.
-            raise Unavailable("too many submissions")
+    async def accept(self, name: str, record: Any, flow: admission.Flow = ("", "")) -> bool:
+        """Commit with what else is waiting; False when the job is known already.
+
+        Raises TooMany for what could not be written before its user gives it up: told at once.
+        """
+        rate = self.store.changes.rate
+        bound = max(c.SUBMIT_LEAST, int(rate * c.SUBMIT_WAIT_S))
+        waiting, teams = len(self.waiting), len(self.waiting.teams.keys() | {flow[0]})
+        if not admission.admits(waiting, self.waiting.of(flow[0]), teams, bound):
+            self.owner.around.meters.add("submissions refused")
+            raise TooMany(admission.retry_after_s(waiting, rate, random.random()))
         future: asyncio.Future[int | None] = asyncio.get_running_loop().create_future()
-        self.waiting.append((name, record, future))
+        self.waiting.add(flow, (name, record, future))
         if self.batching is None or self.batching.done():
             self.batching = asyncio.create_task(self._batch())
         rev = await future
@@ -163,15 +176,9 @@
         while self.waiting:
             limit = max(1, min(self.settings.params.state.txn_ops, 24))
             taken: dict[str, Any] = {}
-            batch, later = [], []
-            for entry in self.waiting:
-                # Two submissions of one id at once: the second sees the first's outcome.
-                if entry[0] in taken or len(taken) >= limit:
-                    later.append(entry)
-                else:
-                    taken[entry[0]] = entry[1]
-                    batch.append(entry)
-            self.waiting = later
+
+            # Two submissions of one id at once: the second sees the first's outcome.
+            batch = self.waiting.take(limit, partial(_first_of_its_id, taken))
             guards = {sk.JOB + n: 0 for n in taken} | {sk.OLD + n: 0 for n in taken}
             writes = {sk.JOB + n: record for n, record in taken.items()}
             try:
@@ -182,7 +189,7 @@
                     if entry[0] in known or not known:
                         _settle(entry[2], None)
                     else:
-                        self.waiting.append(entry)  # one conflict must not fail the others
+                        self.waiting.add(("", ""), entry)  # one conflict must not fail the others
             except Exception as error:
                 failure = error if isinstance(error, Unavailable) else Unavailable(str(error))
                 if failure is not error:
@@ -291,7 +298,7 @@
                         _follow(other, future)
                 elif not future.done():
                     future.set_result(Checked(not changed, compared[name]))
-            await asyncio.sleep(max(c.POLL_PACE_S, self.store.pace_s(c.POLL_PART)))
+            await asyncio.sleep(self.store.pace_s(c.POLL_PACE_S, c.POLL_PART))
 
     def counts(self, name: str) -> tuple[int, int, int]:
         """Done, running and (of another interface's jobs) placed tasks, as last heard."""
@@ -381,6 +388,14 @@
     """The job is another interface's."""
 
 
+class TooMany(Unavailable):
+    """More submissions than can be written in time; `after_s` is when to come again."""
+
+    def __init__(self, after_s: int) -> None:
+        super().__init__(f"too many submissions; again after {after_s} s")
+        self.after_s = after_s
+
+
 class TooLarge(Exception):
     """A request body over the limit."""
 
@@ -400,6 +415,10 @@
     return web.Response(status=status, body=body, content_type="application/cbor")
 
 
+def _first_of_its_id(taken: dict[str, Any], entry: tuple[str, Any, Any]) -> bool:
+    return taken.setdefault(entry[0], entry[1]) is entry[1]
+
+
 def _follow(first: asyncio.Future[Checked], second: asyncio.Future[Checked]) -> None:
     """The second ends as the first does."""
 
--- a/coveflow/membership/lead.py
+++ b/coveflow/membership/lead.py
@@ -137,7 +137,7 @@
                 self._contact(sent)
                 pause = c.RETRY_S
                 # Bursts of changes share an answer, and the request budget lasts.
-                pace_s = max(c.WATCH_PACE_S, self.store.pace_s(c.WATCH_PART))
+                pace_s = self.store.pace_s(c.WATCH_PACE_S, c.WATCH_PART)
                 await asyncio.sleep(max(0.0, pace_s - (self.clock() - opened)))
             except TooOld:
                 after = None
--- a/coveflow/state/store.py
+++ b/coveflow/state/store.py
@@ -67,9 +67,13 @@
         self.changes.set_rate(self.limits.write_rps * share)
         self.hedges.set_rate(self.limits.write_rps * share * c.HEDGE_PART)
 
-    def pace_s(self, part: float) -> float:
-        """s between two requests of a kind that is to use that part of this node's share."""
-        return 1.0 / (part * self.requests.rate)
+    def pace_s(self, least_s: float, part: float) -> float:
+        """s between two requests of a kind: `least_s`, or that part of this node's share.
+
+        The latter where more than half of what may be sent at once has been.
+        """
+        ample = 2 * self.requests.refill() > self.requests.burst
+        return least_s if ample else max(least_s, 1.0 / (part * self.requests.rate))
 
     async def call(
         self,
--- a/tests/tes_nodes.py
+++ b/tests/tes_nodes.py
@@ -50,6 +50,9 @@
         self.between = lambda guards, writes: None
         self.contact = clock()
 
+    def pace_s(self, least_s: float, part: float) -> float:
+        return least_s
+
     async def get(self, key):
         await self._asked()
         row = self.model.get(key)
