--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -53,6 +53,7 @@
 SUBMIT_WAIT_S = 3.0  # s of this node's share of the store's changes that submissions may wait for;
 # users wait 5 s for an answer
 RETRY_AFTER_MOST = 30  # s; users heed no more
+SUBMIT_BATCH_S = 0.1  # s of a node's share of changes in one transaction of submissions that wait
 SUBMIT_LEAST = 8  # submissions that may wait however small the share is
 POLL_QUEUE = 2_000  # polls that wait for the store's word; more are told to come back
 POLL_PACE_S = 0.05  # s between two checks that polls share, so that they leave requests over
@@ -135,7 +136,8 @@
 # which a worker takes 4 s and one more
 DEAF_FOLLOWS_S = 2.0  # s within which a machine that was sent to another node asks there
 DEAF_QUICK = 3  # such reports in a row that end the doubt; connections may break now and then
-DEAF_TRUSTED = 32  # tasks at once after which a machine that hears again has no bound any more
+DEAF_GROWTH = 4  # times as many tasks with each order that shows; half a second each
+DEAF_TRUSTED = 16  # tasks at once after which a machine that hears again has no bound any more
 DEAF_LEASES = 1.5  # leases for which a deaf machine may heal before it goes back
 DEAF_MANY_LEASES = 4.0  # the same where many are: it is the way to them, and that comes back
 DEAF_PART = 0.05  # part of the fleet that may go back as deaf at a time, and that is not many
@@ -150,6 +152,7 @@
 BEGIN_S = 150.0  # s after which a job of which nothing ever began comes first; it has to begin
 # within 240, and rooms that fall free, images and a change of the lead take a minute and more
 BEGIN_PART = 0.125  # part of its tasks that it begins with then
+FLOOR_PART = 0.15  # part of the room that work which waited longer than that may have before others
 EVENT_PASS_S = 0.15  # s between two cheap passes, so that exits share one
 READY_S = 30.0  # s of coming work for which free accelerators are kept; about a boot or a fetch
 ASKED_PARTS = 6  # parts of the time over which recent demand is counted; their median is taken,
--- a/coveflow/core/hearing.py
+++ b/coveflow/core/hearing.py
@@ -90,13 +90,13 @@
         if rose:
             self._tenure_rose(lease_s, now)
         elif self.deaf and (heard or self.quick >= c.DEAF_QUICK):
-            # What is told reaches it again: one task first, then twice as many each time.
+            # What is told reaches it again: one task first, then more with each order that shows.
             self.deaf_since, self.trust = None, 1
             self._heard()
         elif self.missed >= c.DEAF_MISSES and now - self.missed_at >= c.DEAF_LEAST_S:
             self.deaf_since = now if was is None else was
         elif heard and self.trust:
-            self.trust = self.trust * 2 if self.trust < c.DEAF_TRUSTED else 0
+            self.trust = self.trust * c.DEAF_GROWTH if self.trust < c.DEAF_TRUSTED else 0
         self.told, self.counter, self.away = {}, -1, False
         return (was is None) != (self.deaf_since is None)
 
@@ -117,6 +117,9 @@
         several = len(self.answers) >= c.DEAF_ANSWERS
         if several and self.answers[-1] - self.answers[0] >= lease_s * c.DEAF_LEASE_PART:
             self.deaf_since = now if self.deaf_since is None else self.deaf_since
+        # Whatever ended its session, nothing shows yet that it hears. New leaders, who had answered
+        # nothing yet, placed 560 tasks on 92 deaf machines, which took another lease to show.
+        self.trust = 1
         self.missed = 0
         self.answers.clear()
 
--- a/coveflow/core/planner.py
+++ b/coveflow/core/planner.py
@@ -50,7 +50,9 @@
     steps: int = 0  # machines and buckets looked at, for the log and the test of its bound
 
 
-def order(state: State, inside: set[str], tuning: Tuning, guesses: dict[str, float]) -> list[Job]:
+def order(
+    state: State, inside: set[str], tuning: Tuning, guesses: dict[str, float]
+) -> tuple[list[Job], set[str]]:
     """Guaranteed work, then deadline jobs that can still gain and goals, then the rest.
 
     The first by arrival; the second by priority and arrival, as only a higher priority may stop
@@ -62,6 +64,8 @@
 
     Whatever has not begun at all for long comes first (ours): with enough of the others, a large
     job without a deadline never began. It begins with a part, see `first_part`, and then waits on.
+
+    With them the names of those that come before the rest.
     """
 
     def rank(job: Job) -> tuple[int, int, bool, float]:
@@ -79,10 +83,15 @@
             return (1, -spec.priority, late, arrived)
         return (2, 0, False, arrived - guess)
 
-    return sorted(
-        (j for j in state.jobs if j.cancelled is None and j.free and j.not_before <= state.now),
-        key=rank,
+    ranked = sorted(
+        (
+            (rank(job), i, job)
+            for i, job in enumerate(state.jobs)
+            if job.cancelled is None and job.free and job.not_before <= state.now
+        ),
+        key=lambda row: row[:2],
     )
+    return [job for _, _, job in ranked], {job.id for row, _, job in ranked if row[0] < 2}
 
 
 def overdue(job: Job, state: State) -> bool:
@@ -103,12 +112,44 @@
     if job.spec.kind == "gang":
         return want
     if job.errors and not job.done:
-        return min(want, 1 - len(job.placed))
+        return min(want, max(0, 1 - len(job.placed)))
     if overdue(job, state):
         return min(want, math.ceil(job.spec.tasks * c.BEGIN_PART))
     return want
 
 
+def floors(state: State, todo: list[Job], urgent: set[str], total: float) -> dict[str, float]:
+    """CPUs that each class may take before all others, as it has waited long and has too little.
+
+    A part of the room, shared max-min over the classes whose work waited too long, whatever the
+    values of the others say; what a class uses already counts. A job to blame has no part in it.
+    """
+    wants: dict[str, float] = {}
+    for job in todo:
+        spec = job.spec
+        aged = state.now - state.arrived[job.id] > c.BEGIN_S
+        if aged and job.id not in urgent and not (job.errors and not job.done):
+            wants[spec.workload] = wants.get(spec.workload, 0.0) + spec.cpus * len(job.free)
+    if not wants:
+        return {}
+    used = dict.fromkeys(wants, 0.0)
+    for job in state.jobs:
+        if job.spec.workload in used:
+            used[job.spec.workload] += job.spec.cpus * job.attempts
+    shares = max_min({name: wants[name] + used[name] for name in wants}, c.FLOOR_PART * total)
+    return {name: share - used[name] for name, share in shares.items() if share > used[name] + EPS}
+
+
+def max_min(wants: dict[str, float], total: float) -> dict[str, float]:
+    """Equal shares, but none more than it wants; what one leaves goes to the others."""
+    shares: dict[str, float] = {}
+    left = total
+    for i, (want, name) in enumerate(sorted((want, name) for name, want in wants.items())):
+        shares[name] = min(want, left / (len(wants) - i))
+        left -= shares[name]
+    return shares
+
+
 def plan(
     state: State,
     tuning: Tuning,
@@ -125,7 +166,7 @@
     result = Plan()
     full = old_holds is None
     inside = guaranteed(state)
-    todo = order(state, inside, tuning, guesses)
+    todo, urgent_ones = order(state, inside, tuning, guesses)
     if not todo:
         return result
     least = min(job.spec.cpus for job in todo)
@@ -139,11 +180,17 @@
                 claims[key] = min(held.start, claims.get(key, math.inf))
     usage = dict(state.usage)
     stopped: set[str] = set()
-    for job in todo:
+    floor = floors(state, todo, urgent_ones, there.total)
+    given: dict[str, int] = {}  # tasks started for a class's floor
+    walk = [(job, job.spec.workload) for job in todo if job.id not in urgent_ones and floor]
+    for job, of_floor in [*walk, *((job, "") for job in todo)]:
         spec = job.spec
         guess = guesses.get(job.id, 60.0)
-        allowed = under_limit(spec, len(job.free), usage, state.teams)
-        want = first_part(job, min(len(job.free), allowed), state)
+        free = len(job.free) - given.get(job.id, 0)
+        allowed = under_limit(spec, free, usage, state.teams)
+        want = first_part(job, min(free, allowed), state)
+        if of_floor:
+            want = min(want, int(floor.get(of_floor, 0.0) / max(spec.cpus, EPS)))
         if spec.kind == "gang" and (want < spec.tasks or job.placed):
             continue  # whole or not at all
         first_in_line = job.id in inside or spec.workload in state.goals
@@ -158,6 +205,10 @@
         if got:
             cpus, acc = usage.get(spec.team, (0.0, 0.0))
             usage[spec.team] = (cpus + spec.cpus * got, acc + spec.accelerators * got)
+        if of_floor:
+            floor[of_floor] = floor.get(of_floor, 0.0) - got * spec.cpus
+            given[job.id] = got
+            continue
         left = want - got
         if not left:
             continue
--- a/coveflow/daemon/front.py
+++ b/coveflow/daemon/front.py
@@ -174,7 +174,11 @@
     async def _batch(self) -> None:
         """Submissions that wait at the same time share a transaction."""
         while self.waiting:
-            limit = max(1, min(self.settings.params.state.txn_ops, 24))
+            # No more than can be paid for at once: whoever comes meanwhile waits for the next one,
+            # and 24 changes of a share of 15 a second took 1.6 s.
+            changes = self.store.changes
+            limit = max(int(changes.refill()), int(changes.rate * c.SUBMIT_BATCH_S), 1)
+            limit = min(limit, self.settings.params.state.txn_ops, 24)
             taken: dict[str, Any] = {}
 
             # Two submissions of one id at once: the second sees the first's outcome.
