Machines that seem deaf to a new leader stay; workers try each mate of a node that lost all

Two nodes of a zone without store and peers sent each other's workers to and fro and kept them, and ten machines went back: each mate is tried in turn, then the worker stays.

--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -77,6 +77,7 @@
         self.mailed_at: dict[str, float] = {}
         self.redirected: dict[str, float] = {}
         self.relay_until: dict[str, float] = {}
+        self.tried: dict[str, tuple[tuple[str, ...], float]] = {}  # mates sent to, and since when
         self.kept: dict[str, float] = {}  # machines this node keeps alive for the leader
         self.took: dict[str, float] = {}  # machines whose reports came here
         self.newest: dict[str, tuple[int, int, float]] = {}  # tenure, counter, when, of the newest
@@ -113,12 +114,10 @@
         self.reports.seen(now)
         self.arrivals.seen(now)
         self.cut_since = None
-        mate = self._way_out(now)
+        mate = self._way_out(report.machine, now)
         if mate:
-            sent = self._send_to(report, mate, now)
-            if sent is not None:
-                self.took.pop(report.machine, None)
-                return sent
+            self.took.pop(report.machine, None)
+            return web.Response(status=421, body=wire.redirect_answer(mate))
         homes = self.owner.around.tuning.homes
         if homes:
             home = self._elsewhere(report, now)
@@ -159,19 +158,28 @@
             return web.Response(status=503 if answer is None else 200, body=answer)
         return web.Response(body=wire.orders_answer(self.owner.inbox.view.epoch, []))
 
-    def _way_out(self, now: float) -> str:
-        """A node that workers are better sent to: this one hears neither the store nor any other.
+    def _way_out(self, machine: str, now: float) -> str:
+        """A node that the worker is better sent to: this one hears neither the store nor any other.
 
-        It could keep their leases alive for as long as its last word of cancellations allows, half
-        a minute in which nothing they end is told and nothing begins. But a zone's only controller
-        cannot tell whether its zone is cut, and its workers then find nobody else.
+        It could keep its lease alive for as long as its last word of cancellations allows, half a
+        minute in which nothing it ends is told and nothing begins. But a zone's only controller
+        cannot tell whether its zone is cut, and its workers then find nobody else. A worker that
+        comes back is sent to the next mate, and stays when all were tried: two such nodes once
+        sent workers to each other.
         """
         if self._store_fresh(now) or not self.peers.lost():
             return ""
         me, zone = self.settings.name, self.settings.zone
-        return self.peers.mate_lost_with_all(
-            [name for name, where in self.zones.items() if where == zone and name != me]
-        )
+        mates = [name for name, where in self.zones.items() if where == zone and name != me]
+        tried, since = self.tried.get(machine, ((), now))
+        if now - since > RELAY_SPELL_S:
+            tried, since = (), now
+        left = [name for name in self.peers.lost_with_all(mates) if name not in tried]
+        if not left:
+            return ""
+        mate = max(left, key=lambda name: routing.weight(machine, name))
+        self.tried[machine] = ((*tried, mate), since)
+        return mate
 
     def cut(self) -> bool:
         """No worker reaches this node any more, though enough of them should."""
@@ -523,6 +531,8 @@
                 del table[name]
         for name in [n for n, until in self.relay_until.items() if now > until + c.BOUNCE_S]:
             del self.relay_until[name]
+        for name in [n for n, row in self.tried.items() if now - row[1] > 2 * RELAY_SPELL_S]:
+            del self.tried[name]
         # A machine that counts from the beginning is not ignored for good.
         for name in [n for n, row in self.newest.items() if now - row[2] > 2 * limit]:
             del self.newest[name]
--- a/coveflow/daemon/keeper.py
+++ b/coveflow/daemon/keeper.py
@@ -162,7 +162,8 @@
                 waits = patience if m.counter >= 0 else unheard
                 late = quiet > waits and not self.zones.put_off(m.zone)
                 # What a new leader hears of them shows no life, but they are no silent zone.
-                late = late and not (m.id in waits_for and now - m.hearing.came < patience)
+                comes = now - m.hearing.came < patience
+                late = late and not (comes and (m.id in waits_for or m.hearing.trust))
                 if (late or taken) and not self.around.peer_hears(m.id, workers.lease_s, m.newest):
                     if not taken and self.zones.get(m.zone).state == GONE:
                         lost.setdefault(m.zone, []).append(m)
@@ -177,12 +178,12 @@
         return silent
 
     def _many_deaf(self) -> tuple[set[str], int]:
-        """Deaf machines where they are many: it is the way to them that is cut, and comes back.
+        """Machines that seem deaf, where many do: the way to them is cut, and that comes back.
 
         With it how many may go back at a time.
         """
         machines = self.book.machines.values()
-        deaf = {m.id for m in machines if m.hearing.deaf}
+        deaf = {m.id for m in machines if m.hearing.doubtful}
         most = max(1, int(c.DEAF_PART * len(machines)))
         return (deaf if len(deaf) > most else set(), most)
 
--- a/coveflow/membership/peers.py
+++ b/coveflow/membership/peers.py
@@ -126,15 +126,15 @@
             return False
         return all(at is not None and now - at >= LOST_S for at in since)
 
-    def mate_lost_with_all(self, mates: Iterable[str]) -> str:
-        """One of these that fell silent together with all others, or "".
+    def lost_with_all(self, mates: Iterable[str]) -> list[str]:
+        """Those of these that fell silent together with all others.
 
         Nodes of the same zone that were heard to the last show that it is not the zone that is cut,
         but this node's own ways. Mates that had ended before show nothing.
         """
         ages = self.suspicion.heard(self.clock())
-        age, name = min(((ages[mate], mate) for mate in mates if mate in ages), default=(1e9, ""))
-        return name if age - min(ages.values(), default=0.0) < LOST_TOGETHER_S else ""
+        first = min(ages.values(), default=0.0)
+        return [mate for mate in mates if ages.get(mate, 1e9) - first < LOST_TOGETHER_S]
 
     def look(self) -> None:
         """Raise and drop doubts by what came in; each change is told in the log."""
--- a/tests/test_nights.py
+++ b/tests/test_nights.py
@@ -58,5 +58,12 @@
     sever = Trouble(0.0, "sever", ("leader",), 24.0)
     told = night(sever, run_s=3.0)
     assert (told.broken, told.lost, told.returned) == ("", 0, 0)
-    monkeypatch.setattr(Agents, "_way_out", lambda self, now: "")
+    monkeypatch.setattr(Agents, "_way_out", lambda self, machine, now: "")
     assert night(sever, run_s=3.0).lost > 0
+
+
+def test_two_nodes_of_a_zone_without_store_and_peers_do_not_send_workers_to_each_other():
+    """They kept all workers between them, and the leader gave ten machines back as silent."""
+    both = Trouble(0.0, "sever", ("host-0", "host-2"), 34.0)
+    told = night(both, run_s=20.0)
+    assert (told.broken, told.lost, told.returned) == ("", 0, 0)
