A machine that missed answers and has nothing to do is not doubted for ever

Cause (by reading): after two missed answers a machine got no work, so no order could show that it hears, and its doubt stayed. A report that comes too soon for an answer to have been given up, three times, or a session that outlives the last doubt by a lease, shows that it hears someone. Tests for both.

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -132,6 +132,7 @@
 DEAF_LEAST_S = 6.0  # s over which they go; a worker that gets none reports every 5 s
 DEAF_ANSWERS = 2  # answers within one lease that its end shows to be lost
 DEAF_LEASE_PART = 0.3  # part of the lease over which these went: not all at once, after a pause
+DEAF_GIVE_UP_S = 5.0  # s until a worker without an answer asks the next node: 4 s and one more
 DEAF_QUICK_S = 4.4  # s; a report this soon after an answer shows that it was not given up, for
 # which a worker takes 4 s and one more
 DEAF_FOLLOWS_S = 2.0  # s within which a machine that was sent to another node asks there
--- a/coveflow/core/hearing.py
+++ b/coveflow/core/hearing.py
@@ -31,6 +31,7 @@
     away: bool = False  # that answer sent it to another node
     missed: int = 0  # answers in a row that show no effect
     missed_at: float = 0.0  # when the first of them left
+    session_at: float = -1e9  # when its session last rose
     epoch: int = 0  # the highest that its reports named
     answers: deque[float] = msgspec.field(default_factory=deque)  # not known to be heard
     came: float = -1e9  # when the newest of its reports did, whatever epoch it names
@@ -42,6 +43,10 @@
     def deaf(self) -> bool:
         return self.deaf_since is not None
 
+    @property
+    def doubted(self) -> bool:
+        return self.deaf or self.missed > 0
+
     @property
     def doubtful(self) -> bool:
         """Whether it gets no work: one answer may be lost, two in a row seldom are."""
@@ -77,22 +82,23 @@
         behind = report.epoch < epoch and self.epoch <= report.epoch
         learnt = report.epoch >= epoch and self.epoch < epoch and self.counter >= 0
         heard = not rose and (learnt or (known and (follows or self._obeyed(report))))
+        lives = self.doubted and not rose and now - self._doubted_at() > lease_s + c.DEAF_GIVE_UP_S
         self.epoch = max(self.epoch, report.epoch)
         # An answer given up takes 4 s, and another second goes until the next node is asked.
         soon = known and asked and not behind and now - self.at < c.DEAF_QUICK_S
         self.quick = self.quick + 1 if soon else 0
-        if heard:
+        if heard or lives or self.quick >= c.DEAF_QUICK:
+            # It hears someone: the session would be over, or the next report not here so soon.
             self._heard()
-        elif known and (behind or not asked or self._waited_for()):
+        elif known and not soon and (behind or not asked or self._waited_for()):
             if not self.missed:
                 self.missed_at = self.at
             self.missed += 1
         if rose:
             self._tenure_rose(lease_s, now)
-        elif self.deaf and (heard or self.quick >= c.DEAF_QUICK):
+        elif self.deaf and (heard or lives or self.quick >= c.DEAF_QUICK):
             # What is told reaches it again: one task first, then more with each order that shows.
             self.deaf_since, self.trust = None, 1
-            self._heard()
         elif self.missed >= c.DEAF_MISSES and now - self.missed_at >= c.DEAF_LEAST_S:
             self.deaf_since = now if was is None else was
         elif heard and self.trust:
@@ -104,6 +110,10 @@
         """Whether the next report had to show an effect; a gang's stop shows none for a while."""
         return any(verb != "stop" for verb in self.told.values())
 
+    def _doubted_at(self) -> float:
+        """The last moment that spoke against it: a session that outlives it by a lease was kept."""
+        return max(self.missed_at, self.session_at, self.deaf_since or -1e9)
+
     def _heard(self) -> None:
         self.missed = 0
         self.answers.clear()
@@ -119,9 +129,8 @@
             self.deaf_since = now if self.deaf_since is None else self.deaf_since
         # Whatever ended its session, nothing shows yet that it hears. New leaders, who had answered
         # nothing yet, placed 560 tasks on 92 deaf machines, which took another lease to show.
-        self.trust = 1
-        self.missed = 0
-        self.answers.clear()
+        self.trust, self.session_at = 1, now
+        self._heard()
 
     def _obeyed(self, report: Report) -> bool:
         """Whether the report shows what only an answer of this leader can have done."""
--- a/tests/test_hearing.py
+++ b/tests/test_hearing.py
@@ -127,6 +127,11 @@
     assert leader.tick(LEASE_S) == ["n-1"]
 
 
+def session(leader) -> int:
+    """The tenure of a machine that no answer reached since the leader's begin."""
+    return 1 + int((leader.now - 100.0) / LEASE_S)
+
+
 def miss(leader, counter, tasks=(), gap_s=5.0, **more):
     leader.now += gap_s
     return leader.heard(1, counter, EPOCH, tasks, **more)
@@ -170,6 +175,22 @@
     assert m.hearing.deaf and not m.placements
 
 
+@pytest.mark.parametrize("gap_s", [REPORT_S, 6.0])
+def test_a_machine_that_missed_answers_and_has_nothing_to_do_is_not_doubted_for_ever(gap_s):
+    """Its session lives on, or its reports come too soon: it hears, though no order can show it."""
+    leader = Leader()
+    leader.give()
+    for counter in range(2, 5):
+        miss(leader, counter)
+    m = leader.book.machines["n-1"]
+    assert m.hearing.doubtful and not m.hearing.deaf
+    for p in list(m.placements.values()):
+        leader.book.end(p, False, "never started")  # it was stopped before it began
+    for counter in range(5, 12):
+        miss(leader, counter, gap_s=gap_s)
+    assert not m.hearing.doubtful
+
+
 def test_a_machine_whose_session_ended_gets_one_task_until_an_order_shows():
     leader = Leader()
     leader.heard(1, 2, EPOCH)
@@ -222,7 +243,7 @@
     returned, counter = [], 2
     while not returned and leader.now < 300.0:
         counter += 1
-        leader.heard(1, counter, EPOCH, asked=False)
+        leader.heard(session(leader), counter, EPOCH, asked=False)
         returned = leader.tick(4.0)
     assert returned == ["n-1"] and leader.now < 100.0 + 4 * LEASE_S
 
@@ -234,13 +255,13 @@
     while leader.now < 100.0 + 3 * LEASE_S:
         counter += 1
         for name in names:
-            leader.heard(1, counter, EPOCH, machine=name, asked=False)
+            leader.heard(session(leader), counter, EPOCH, machine=name, asked=False)
         assert leader.tick(4.0) == []
     returned = leader.tick(0.5)
     for _ in range(20):
         counter += 1
         for name in names:
-            leader.heard(1, counter, EPOCH, machine=name, asked=False)
+            leader.heard(session(leader), counter, EPOCH, machine=name, asked=False)
         returned += leader.tick(4.0)
     assert len(returned) == 1  # a twentieth at a time, until the cloud has answered
 
