A zone's other nodes are looked up once

Twins in agents.py (_kept_from_all, _way_out) each worked them out from the settings, one of them for each report.

--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -89,6 +89,10 @@
         inbox = owner.inbox
         self.carrier = Carrier(peers, lambda: inbox.view.leader, lambda: inbox.view.epoch)
         self.zones = {m.name: m.zone for m in settings.members} | {settings.name: settings.zone}
+        # Other nodes of this one's zone.
+        self.mates = [
+            m.name for m in settings.members if m.zone == settings.zone and m.name != settings.name
+        ]
         self.heard_at = clock()
 
     def may_keep_alive(self) -> bool:
@@ -169,12 +173,10 @@
         """
         if self._store_fresh(now) or not self.peers.lost():
             return ""
-        me, zone = self.settings.name, self.settings.zone
-        mates = [name for name, where in self.zones.items() if where == zone and name != me]
         tried, since = self.tried.get(machine, ((), now))
         if now - since > RELAY_SPELL_S:
             tried, since = (), now
-        left = [name for name in self.peers.lost_with_all(mates) if name not in tried]
+        left = [name for name in self.peers.lost_with_all(self.mates) if name not in tried]
         if not left:
             return ""
         mate = max(left, key=lambda name: routing.weight(machine, name))
@@ -284,9 +286,7 @@
         may be the whole zone, and a zone's only controller cannot tell: workers sent away from it
         tried the others in vain, 4 s each, until their leases were over.
         """
-        me, zone = self.settings.name, self.settings.zone
-        mates = any(where == zone for name, where in self.zones.items() if name != me)
-        return mates and self._store_fresh(now) and self.peers.suspicion.alone(now)
+        return bool(self.mates) and self._store_fresh(now) and self.peers.suspicion.alone(now)
 
     def _store_fresh(self, now: float) -> bool:
         """Whether the store answered this node just now."""
