Worlds and model check judge every answer that renews a lease; meetings as a kind of worlds

The checker's new rule 'renewed': an answer to a report sent more than cancel_s - lease_s - margin after a cancellation was told has to stop its tasks. lab worlds meetings draws the operators' meetings, alone and two or three at once, on 1 to 5 nodes.

--- a/coveflow/cli/modelcheck.py
+++ b/coveflow/cli/modelcheck.py
@@ -28,7 +28,7 @@
     Exit status 1 where a rule breaks on the real code, or a planted bug is not found.
     """
     from coveflow.lab import modelcheck as mc
-    from coveflow.lab.planted import PLANTED
+    from coveflow.lab.planted import PLANTED, PLANTED_CANCELLED
 
     logging.disable(logging.CRITICAL)
     rows: list[dict[str, Any]] = []
@@ -42,10 +42,16 @@
         add(f"all orders, {name}", began, mc.search(script, depth, nodes), False)
     began = time.monotonic()
     add("random paths", began, mc.walks(walks, seed=seed, nodes=nodes), False)
-    for name, plant in PLANTED.items() if planted else ():
-        began = time.monotonic()
-        with plant():
-            add(f"planted: {name}", began, mc.walks(max(walks, 4000), seed=seed), True)
+    began = time.monotonic()
+    paths = mc.walks(walks, seed=seed, nodes=nodes, cancelled=True)
+    add("random paths with a cancellation", began, paths, False)
+    plants = [(PLANTED, False), (PLANTED_CANCELLED, True)] if planted else []
+    for bugs, cancelled in plants:
+        for name, plant in bugs.items():
+            began = time.monotonic()
+            with plant():
+                found = mc.walks(max(walks, 4000), seed=seed, cancelled=cancelled)
+            add(f"planted: {name}", began, found, True)
     good = all(row["good"] for row in rows)
     if as_json:
         print(json.dumps({"good": good, "rows": rows}))
--- a/coveflow/lab/cases.py
+++ b/coveflow/lab/cases.py
@@ -34,6 +34,7 @@
     begin_s: float = 12.0  # s into the world at which troubles begin; by then work is steady
     jobs_until_s: float = 34.0  # s until which a job is submitted every second
     polls: bool = False  # whether users ask for their jobs
+    shapes: bool = False  # jobs of all sorts: gangs, saving ones, few long tasks, slow images
 
 
 # --- ends and quick returns --------------------------------------------------------------
@@ -193,3 +194,108 @@
         "nights", seed, name, nodes, troubles=tuple(troubles), run_s=r.uniform(4.0, 25.0),
         polls=True,
     )  # fmt: skip
+
+
+# --- meetings ------------------------------------------------------------------------------
+
+
+def _other(r: random.Random, names: list[str]) -> str:
+    return r.choice(["leader", *names])
+
+
+def _unreached(r: random.Random, names: list[str]) -> list[Trouble]:
+    """The leader ends while machines with work are out of reach, or hear nothing."""
+    what = r.choice(["away", "deaf"])
+    begin = r.uniform(-3.0, 0.5)
+    return [
+        Trouble(begin, what, (r.choice(["one", "few", "zone"]),), r.uniform(5.0, 22.0)),
+        Trouble(0.0, "end", ("leader",), r.choice([0.1, 0.5, 8.0])),
+        *([Trouble(r.uniform(0.0, 8.0), "cloud", (), 20.0)] if r.random() < 0.4 else []),
+    ]
+
+
+def _far_ends(r: random.Random, names: list[str]) -> list[Trouble]:
+    """Tasks of one job end before and after the lead changes."""
+    times = [r.uniform(0.0, 12.0) for _ in range(3)]
+    return [Trouble(at, "end", ("leader",), r.uniform(0.1, 6.0)) for at in times]
+
+
+def _to_and_fro(r: random.Random, names: list[str]) -> list[Trouble]:
+    """The lead goes over and back, all end, one returns at once."""
+    found = [Trouble(0.4 * i * r.random(), "hand", ("leader",)) for i in range(4)]
+    at = r.uniform(0.2, 2.5)
+    ends = [Trouble(at + r.uniform(0.0, 0.4), "end", (n,), r.uniform(0.05, 5.0)) for n in names]
+    return [*found, *ends, Trouble(at + r.uniform(0.5, 2.0), "hand", ("leader",))]
+
+
+def _cut_leader(r: random.Random, names: list[str]) -> list[Trouble]:
+    return [
+        Trouble(0.0, "sever", ("leader",), r.uniform(5.0, 45.0)),
+        *(Trouble(r.uniform(0.5, 12.0), "cancel") for _ in range(3)),
+    ]
+
+
+def _old_reports(r: random.Random, names: list[str]) -> list[Trouble]:
+    return [
+        Trouble(-6.0, "copies", (), r.uniform(30.0, 60.0)),
+        Trouble(r.uniform(0.0, 3.0), "end", (_other(r, names),), r.uniform(0.1, 5.0)),
+        Trouble(r.uniform(0.0, 15.0), "reborn", (r.choice(["old", "first"]),)),
+        Trouble(r.uniform(3.0, 15.0), "end", ("leader",), r.uniform(0.1, 5.0)),
+    ]
+
+
+def _store(r: random.Random, names: list[str]) -> list[Trouble]:
+    """Slow, or refused to one and then to all for longer than a cancellation may take."""
+    cancels = [Trouble(r.uniform(0.0, 6.0), "cancel") for _ in range(3)]
+    if r.random() < 0.4:
+        return [Trouble(0.0, "slow", (r.choice(["0.2", "1", "2.5", "6"]),), 20.0), *cancels]
+    down = r.uniform(0.3, 6.0)
+    return [
+        Trouble(0.0, "refused", (_other(r, names),), r.uniform(3.0, 16.0)),
+        Trouble(r.uniform(0.1, down), "cancel"), *cancels,
+        Trouble(down, "outage", (), r.uniform(45.0, 60.0)),
+    ]  # fmt: skip
+
+
+def _late_writes(r: random.Random, names: list[str]) -> list[Trouble]:
+    return [
+        Trouble(-2.0, "late writes", (), r.uniform(10.0, 25.0)),
+        Trouble(r.uniform(0.0, 10.0), "end", (_other(r, names),), r.uniform(0.05, 1.0)),
+        Trouble(r.uniform(0.0, 10.0), "cancel"),
+    ]
+
+
+def _held_up(r: random.Random, names: list[str]) -> list[Trouble]:
+    """Machines hang, and go on within their lease or just after it."""
+    return [
+        Trouble(r.uniform(0.0, 5.0), "hang", (r.choice(["one", "few"]),), r.uniform(3.0, 24.0)),
+        Trouble(r.uniform(0.0, 8.0), "cancel"),
+        Trouble(r.uniform(0.0, 8.0), "end", (_other(r, names),), r.uniform(0.1, 2.0)),
+    ]
+
+
+MEETINGS: dict[str, Callable[[random.Random, list[str]], list[Trouble]]] = {
+    "unreached": _unreached, "far ends": _far_ends, "to and fro": _to_and_fro,
+    "cut leader": _cut_leader, "old reports": _old_reports, "store": _store,
+    "late writes": _late_writes, "held up": _held_up,
+}  # fmt: skip
+
+
+def meetings(seed: int) -> Case:
+    """The operators' meetings in turn; after each lap of them two or three at once."""
+    r = random.Random(f"meetings-{seed}")
+    lap, at = divmod(seed, len(MEETINGS) + 2)
+    sorts = [list(MEETINGS)[at]] if at < len(MEETINGS) else r.sample(list(MEETINGS), 2 + at % 2)
+    nodes = r.choice([3, 5]) if lap % 3 else r.choice([1, 2, 4])
+    names = [f"host-{i}" for i in range(nodes)]
+    troubles: list[Trouble] = []
+    for sort in sorts:
+        late = r.uniform(0.0, 4.0) if troubles else 0.0
+        troubles += [
+            Trouble(t.at + late, t.what, t.who, t.for_s) for t in MEETINGS[sort](r, names)
+        ]
+    name = " + ".join(sorts) if len(sorts) == 1 else "several"
+    return Case(
+        "meetings", seed, name, nodes, troubles=tuple(troubles), run_s=r.uniform(4.0, 30.0),
+        polls=True, shapes=True,
+    )  # fmt: skip
--- a/coveflow/lab/check.py
+++ b/coveflow/lab/check.py
@@ -12,10 +12,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from coveflow import constants as c
 from coveflow.core.model import Spec
 from coveflow.settings import Team
 
 CALM_S = 75.0  # s without an answer about a job, once all troubles are over, that forget it
+CLOCKS_S = 0.1  # s by which clocks that drift by 0.05% may differ over cancel_s, and more
 FORGOTTEN_S = 90.0  # s for which every poll for a job may fail while most others are answered
 
 
@@ -46,9 +48,15 @@
 
 
 class Checker:
-    def __init__(self, teams: list[Team], cancel_s: float) -> None:
+    def __init__(
+        self, teams: list[Team], cancel_s: float, lease_s: float = math.inf
+    ) -> None:
+        """With `lease_s` every answer that renews a lease is judged by docs/notes/evidence.md."""
         self.teams = {team.name: team for team in teams}
         self.cancel_s = cancel_s
+        self.known_s = cancel_s - lease_s - c.CONTACT_MARGIN_S
+        self.gone_s = 0.0  # longest from when a user was told of it until a cancelled task was gone
+        self.gone_at = 0.0  # when that was
         self.jobs: dict[str, _Job] = {}
         self.live: dict[tuple[str, int], _Live] = {}
         self.zones: dict[str, Counter[str]] = {}  # live tasks of a job by zone
@@ -95,6 +103,8 @@
                 self._job(row["job"]).asked_cancel = True
             case "answer":
                 self._answer(row)
+            case "renewed":
+                self._renewed(row)
 
     # --- workers -----------------------------------------------------------------------
 
@@ -151,6 +161,8 @@
         if there is None or there.machine != row["machine"]:
             return
         self._not_cancelled(job, task, row["at"])
+        if row["at"] - known.told_at > self.gone_s:
+            self.gone_s, self.gone_at = row["at"] - known.told_at, row["at"]
         del self.live[(job, task)]
         self.zones[job][there.zone] -= 1
         if known.spec is not None:
@@ -163,6 +175,24 @@
                 "ran_cancelled", at, f"{job}/{task} {at - since:.1f} s after its cancellation"
             )
 
+    def _renewed(self, row: dict[str, Any]) -> None:
+        """A worker takes an answer to the report that it sent at `sent`, with these orders.
+
+        Cancellations told early enough before that must be known to whoever answered, and acted on:
+        the lease may else outlive the user's limit. This fails well before a task does.
+        """
+        orders = {(verb, job, task) for verb, job, task in row["orders"]}
+        late = row["sent"] - self.known_s - CLOCKS_S
+        runs = [(job, task) for verb, job, task in orders if verb == "run"]
+        for job, task in [*row["live"], *runs]:
+            told_at = self._job(job).told_at
+            if told_at < late and ("stop", job, task) not in orders:
+                self._broken(
+                    "renewed", row["at"],
+                    f"{job}/{task} on {row['machine']} is left to run by an answer to a report "
+                    f"{row['sent'] - told_at:.1f} s after its cancellation",
+                )  # fmt: skip
+
     # --- users -------------------------------------------------------------------------
 
     def _answer(self, row: dict[str, Any]) -> None:
--- a/coveflow/lab/choices.py
+++ b/coveflow/lab/choices.py
@@ -14,7 +14,7 @@
 import copy
 import hashlib
 from collections.abc import Coroutine, Generator, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import cbor2
@@ -40,12 +40,16 @@
 LIMITS = Limits(report_s=1.0, lease_s=20.0, gang_wait_s=20.0, gang_peer_s=5.0, cancel_s=90.0)
 STEP_S = 1.0  # s that one choice of time moves the clock
 RUN_S = 1e6  # s a task runs: it ends when the search says so
+SHORT_S = 45.0  # s; `cancel_s` where cancellations are what it is about
+WHILE_S = 14.0  # s of a longer wait, within which a lease is renewed in time
 # How often each thing may happen on one path.
 BOUNDS = {"time": 8, "long": 1, "crash": 1, "hold": 2, "lose": 1, "again": 1, "late": 1,
-          "hand": 1, "cancel": 1, "expire": 1}  # fmt: skip
+          "hand": 1, "cancel": 1, "expire": 1, "word": 0, "while": 0}  # fmt: skip
 # The same on the long random paths.
 WIDE = {"time": 60, "long": 2, "crash": 2, "hold": 4, "lose": 3, "again": 3, "late": 3,
-        "hand": 2, "cancel": 1, "expire": 2}  # fmt: skip
+        "hand": 2, "cancel": 1, "expire": 2, "word": 0, "while": 0}  # fmt: skip
+# And where it is about cancellations, which matter only after more than a lease.
+CANCELLED = WIDE | {"word": 16, "while": 12, "long": 0, "time": 4}
 
 
 class Broken(AssertionError):
@@ -104,6 +108,7 @@
     owner: Owner
     membership: Membership
     seen: int  # revision up to which the watch has told
+    process: str
     txn: Call | None = None
     lead: Call | None = None
     returns: list[str] = field(default_factory=list)
@@ -151,11 +156,15 @@
         """`at_once`: tasks that the team's limit allows at the same time."""
         self.now = 0.0
         self.left = dict(bounds)
+        # Whether it is about cancellations: leases are renewed by what is known of these then.
+        self.judged = bounds["word"] > 0
+        self.limits = replace(LIMITS, cancel_s=SHORT_S) if self.judged else LIMITS
         self.path: list[Choice] = []
         team = s.Team(name="blue", cpus_max=2.0 * at_once)
         self.flavor = Flavor("m", 2.0, 0.0, 8.0, 20.0, 100.0, 1.0, 0.3, 1.0, ["north"])
         self.store = Store(1e9, 1e9, 16.0, 16)
-        self.checker = Checker([team], LIMITS.cancel_s)
+        self.checker = Checker([team], self.limits.cancel_s, LIMITS.lease_s)
+        self.boots = 0  # processes so far, for their names
         self.cleared: set[tuple[Any, ...]] = set()
         self.runs: dict[tuple[str, int, int], str] = {}  # attempts told, by machine
         spec = Spec(
@@ -166,7 +175,7 @@
         self.truth.upload(spec)
         self.checker.see({"at": 0.0, "kind": "submit", "job": JOB, "spec": spec})
         names = [f"host-{i}" for i in range(nodes)]
-        self.settings = {name: self._settings(name, team, nodes) for name in names}
+        self.settings = {name: self._settings(name, team, names) for name in names}
         record = {"spec": _builtins(spec), "at": 0.0}
         members = {sk.MEMBER + name: {"zone": "north"} for name in names}
         types = {"types": [_builtins(self.flavor)]}
@@ -186,14 +195,18 @@
 
     # --- parts -------------------------------------------------------------------------
 
-    def _settings(self, name: str, team: s.Team, nodes: int) -> s.Settings:
+    def _settings(self, name: str, team: s.Team, names: list[str]) -> s.Settings:
         return s.parse({
             "host_name": name, "area": "north", "front": "127.0.0.1:1",
             "cluster_listen": "127.0.0.1:2",
+            "members": [
+                {"host_name": other, "area": "north", "address": "127.0.0.1:2"}
+                for other in names if other != name
+            ],
             "services": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
             "params": {
-                "size": nodes, "zones": ["north"], "teams": [_builtins(team)],
-                "workers": _builtins(LIMITS),
+                "size": len(names), "zones": ["north"], "teams": [_builtins(team)],
+                "workers": _builtins(self.limits),
                 "state": {"rps": 1e6, "write_rps": 1e6, "value_kb": 16.0, "txn_ops": 16},
                 "cloud": {"rps": 3.0},
             },
@@ -207,11 +220,14 @@
             lambda name: False, lambda: self.now, "",
         )  # fmt: skip
         membership.grant = 1
-        node = Node(name, owner, membership, self.store.rev)
+        membership.on_contact = owner.cancellations.store_answered
+        self.boots += 1
+        node = Node(name, owner, membership, self.store.rev, f"process-{self.boots}")
         owner.around.effects = lambda kind, data: self._effect(node, kind, data)
         owner.around.answer = lambda epoch, orders: (epoch, orders)
         owner.around.pass_s = lambda plan, measured_s: 0.0
         owner.work([cm.InboxRows(self._rows(sk.INBOX), listed=self.store.rev)])
+        owner.cancellations.store_answered(self.now)
         return node
 
     def _rows(self, prefix: str) -> list[tuple[str, Any, int]]:
@@ -263,6 +279,12 @@
                         found.append(("lose", name, which))
             if self.store.rev > node.seen:
                 found.append(("watch", name))
+            if left["word"]:
+                if node.owner.cancellations.store_at < self.now:
+                    found.append(("word", name, ""))  # of the store, that nothing changed
+                found += [("word", name, other) for other in self.nodes if other != name]
+            if self.judged and left["cancel"] and self.store.get(sk.JOB + JOB) is not None:
+                found.append(("cancel", name))
             if left["time"]:
                 found.append(("time", name))
             if node.lead is None and node.membership._may_lead():
@@ -300,10 +322,12 @@
             found.append(("arrive",))
         if self.old is not None and left["again"]:
             found.append(("again",))
-        if left["cancel"] and self.store.get(sk.JOB + JOB) is not None:
-            found.append(("cancel",))
+        if not self.judged and left["cancel"] and self.store.get(sk.JOB + JOB) is not None:
+            found.append(("cancel", min(self.nodes, default="")))
         if left["long"]:
             found.append(("long",))
+        if left["while"]:
+            found.append(("while",))
         return found
 
     def do(self, choice: Choice) -> None:
@@ -361,6 +385,18 @@
         events = self.store.events(sk.INBOX, node.seen)
         node.seen = self.store.rev
         node.owner.work([cm.InboxRows(copy.deepcopy(events))])
+        node.owner.cancellations.store_answered(self.now)
+
+    def _do_word(self, name: str, other: str) -> None:
+        """One node asks another what it confirmed to users, or the store, and hears it at once."""
+        if not other:
+            self._do_watch(name)
+            return
+        asked = self.nodes[other]
+        word = cm.PeerWord(
+            other, asked.process, asked.owner.cancellations.word(self.now), self.now
+        )
+        self.nodes[name].owner.work([word])
 
     def _do_time(self, name: str) -> None:
         self.now += STEP_S
@@ -372,6 +408,12 @@
         for worker in self.workers.values():
             worker.advance(self.now)
 
+    def _do_while(self) -> None:
+        """Less than a lease, and long enough for a cancellation to grow old."""
+        self.now += WHILE_S
+        for worker in self.workers.values():
+            worker.advance(self.now)
+
     def _do_lead(self, name: str) -> None:
         node = self.nodes[name]
         node.lead = self._start(node.membership._take_over())
@@ -428,9 +470,13 @@
         if node is None:
             del self.sent[name]  # refused
             return
+        if self.judged and not node.owner.cancellations.may_renew(self.now):
+            del self.sent[name]  # 503
+            return
         if not node.owner.leading:
-            # As any member: the lease, and no orders.
-            sent.answer = (node.owner.inbox.view.epoch, [])
+            # As any member: the lease, and stops of what is cancelled.
+            inbox = node.owner.inbox
+            sent.answer = (inbox.view.epoch, inbox.stops(sent.report))
             return
 
         def answered(body: Any) -> None:
@@ -446,9 +492,18 @@
         assert sent.answer is not None
         epoch, orders = sent.answer
         if worker.tenure == sent.report.tenure and epoch >= worker.epoch:
+            self._judge(name, sent, orders)
             self._orders(worker, orders)
         worker.answered(sent.report.tenure, sent.at, epoch, orders, self.now)
 
+    def _judge(self, name: str, sent: Sent, orders: list[Order]) -> None:
+        if self.judged:
+            self.checker.see({
+                "kind": "renewed", "at": self.now, "sent": sent.at, "machine": name,
+                "live": [(t.job, t.task) for t in sent.report.tasks if t.state != "exited"],
+                "orders": [(order.verb, order.job, order.task) for order in orders],
+            })  # fmt: skip
+
     def _orders(self, worker: Worker, orders: list[Order]) -> None:
         for order in orders:
             key = (worker.name, worker.tenure, order.job, order.task, order.number)
@@ -488,10 +543,13 @@
         attempt.ends = self.now
         worker.advance(self.now)
 
-    def _do_cancel(self) -> None:
+    def _do_cancel(self, name: str) -> None:
+        """That node commits it and tells the user so."""
         row = self.store.get(sk.JOB + JOB)
         assert row is not None
         self._write({sk.JOB + JOB: {**row.value, "cancel": self.now}}, {sk.JOB + JOB: row.rev})
+        if name:
+            self.nodes[name].owner.cancellations.confirm(JOB, self.now, self.now)
         for kind, more in (("cancel", {}), ("answer", {"to": "cancel", "code": 200,
                                                        "state": "cancelled"})):  # fmt: skip
             self.checker.see({"at": self.now, "kind": kind, "job": JOB, **more})
@@ -511,6 +569,10 @@
         parts += [(k, row.value, row.rev) for k, row in self.store.list("", "", 10**6)[0]]
         for name, node in sorted(self.nodes.items()):
             book, inbox = node.owner.book, node.owner.inbox
+            known = node.owner.cancellations
+            parts.append([[word.process, word.since, word.at, word.whole]
+                          for word in known.words.values()])  # fmt: skip
+            parts.append([known.store_at, list(known.known), list(known.confirmed)])
             parts.append([
                 name, node.seen, book.leading, book.rev, inbox.view.epoch, inbox.view.leader,
                 sorted(inbox.members), book.records.seq, list(book.dirty_machines),
--- a/coveflow/lab/modelcheck.py
+++ b/coveflow/lab/modelcheck.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from coveflow.lab.choices import WIDE, Broken, Choice, Model, stepped
+from coveflow.lab.choices import CANCELLED, WIDE, Broken, Choice, Model, stepped
 
 WALK = 160  # steps of a random path
 
@@ -64,17 +64,22 @@
 
 
 def walk(
-    script: list[Choice], length: int, seed: int, nodes: int = 2, at_once: int = 2
-) -> Found:
+    script: list[Choice], length: int, seed: int, nodes: int = 2, at_once: int = 2,
+    bounds: dict[str, int] = WIDE,
+) -> Found:  # fmt: skip
     """One long path of random choices; what may happen only once comes later or earlier."""
     rng = random.Random(seed)
     found = Found(depth=length)
     # Each path has a taste of its own; what moves the work on comes much more often than trouble.
     rare, time = rng.choice([0.02, 0.06, 0.15]), rng.choice([0.3, 0.6, 1.0])
     taste = dict.fromkeys(WIDE, rare) | {"time": time, "finish": rng.choice([0.05, 0.2])}
+    if bounds is CANCELLED:
+        # The store is seldom heard: its word would say all.
+        taste |= {"word": 0.3, "while": 1.0, "watch": 0.03, "apply": 0.1, "lead": 0.03, "time": 0.2}
+        taste |= {"report": 2.0, "take": 4.0, "told": 4.0}
     with stepped():
         try:
-            model = start(script, nodes, at_once=at_once, bounds=WIDE)
+            model = start(script, nodes, at_once=at_once, bounds=bounds)
             for _ in range(length):
                 choices = model.choices()
                 if not choices:
@@ -88,13 +93,18 @@
 
 
 def walks(
-    count: int, length: int = WALK, seed: int = 0, nodes: int = 2
+    count: int, length: int = WALK, seed: int = 0, nodes: int = 2, cancelled: bool = False
 ) -> Found:
-    """Random paths until a rule breaks; every other one under a limit of one task at a time."""
+    """Random paths until a rule breaks; every other one under a limit of one task at a time.
+
+    `cancelled`: those that begin where a cancellation is known to some.
+    """
     total = Found(depth=length, whole=False)
+    scripts = list((SCRIPTS_CANCELLED if cancelled else SCRIPTS).values())
+    bounds = CANCELLED if cancelled else WIDE
     for i in range(count):
-        script = list(SCRIPTS.values())[i // 2 % len(SCRIPTS)]
-        found = walk(script, length, seed + i, nodes, at_once=1 + i % 2)
+        script = scripts[i // 2 % len(scripts)]
+        found = walk(script, length, seed + i, nodes, at_once=1 + i % 2, bounds=bounds)
         total.states += 1
         total.steps += found.steps
         if found.broken:
@@ -125,3 +135,18 @@
         *report("n-1", "host-1"), ("told", "n-1"),
     ],
 }  # fmt: skip
+
+# A task runs, host-0 leads and knows the word of host-1, where its user then cancels it.
+TOLD: list[Choice] = [
+    *lead("host-0"), *report("n-0", "host-0"), ("told", "n-0"),
+    ("time", "host-0"), ("time", "host-0"),
+    *[("apply", "host-0", "txn"), ("answer", "host-0", "txn")],
+    *report("n-0", "host-0"), ("told", "n-0"),
+    ("word", "host-0", "host-1"), ("word", "host-0", ""), ("cancel", "host-1"),
+]  # fmt: skip
+SCRIPTS_CANCELLED: dict[str, list[Choice]] = {
+    "cancelled elsewhere": TOLD,
+    "and the process ended": [
+        *TOLD, ("crash", "host-1"), ("boot", "host-1"), ("word", "host-0", "host-1"),
+    ],
+}  # fmt: skip
--- a/coveflow/lab/planted.py
+++ b/coveflow/lab/planted.py
@@ -6,9 +6,11 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+from coveflow.core.cancellations import Cancellations
 from coveflow.daemon import owner as o
 from coveflow.daemon.book import Book
 from coveflow.daemon.commands import Held
+from coveflow.daemon.inbox import Inbox
 from coveflow.daemon.keeper import Keeper
 from coveflow.daemon.reports import Reports
 from coveflow.lab import choices as mc
@@ -142,6 +144,44 @@
     return _patched(Book, "usage", usage)
 
 
+@contextlib.contextmanager
+def store_word_alone() -> Iterator[None]:
+    """Leases go by what peers tell of cancellations, and stops by what the store does."""
+    with (
+        _patched(Inbox, "stops", lambda self, report: []),
+        _patched(Inbox, "cancelled", lambda self, job: False),
+        _patched(Inbox, "told_cancelled", lambda self, jobs: None),
+    ):
+        yield
+
+
+def confirmed_and_not_told() -> contextlib.AbstractContextManager[None]:
+    """Whoever tells a user of a cancellation tells its peers nothing of it."""
+    return _patched(Cancellations, "confirm", lambda self, job, cancelled, now: None)
+
+
+def any_process_trusted() -> contextlib.AbstractContextManager[None]:
+    """A peer's word counts from the first on, whatever an earlier process of it confirmed."""
+    honest = Cancellations.peer_told
+
+    def told(self: Cancellations, name: str, *more: Any) -> Any:
+        news = honest(self, name, *more)
+        self.words[name].whole = True
+        return news
+
+    return _patched(Cancellations, "peer_told", told)
+
+
+def lease_forgotten() -> contextlib.AbstractContextManager[None]:
+    """Leases are renewed until cancel_s itself, as if they ended with the answer."""
+    honest = Cancellations.__init__
+
+    def init(self: Cancellations, members: Any, cancel_s: float, lease_s: float) -> None:
+        honest(self, members, cancel_s, 0.0)
+
+    return _patched(Cancellations, "__init__", init)
+
+
 PLANTED: dict[str, Callable[[], contextlib.AbstractContextManager[None]]] = {
     "dropped guard": dropped_guard,
     "reused try": reused_try,
@@ -152,3 +192,10 @@
     "hold mistaken for life": hold_as_life,
     "usage freed early": usage_freed_early,
 }
+# About cancellations: found on paths that begin with one.
+PLANTED_CANCELLED: dict[str, Callable[[], contextlib.AbstractContextManager[None]]] = {
+    "stops by the store's word alone": store_word_alone,
+    "confirmed and not told to peers": confirmed_and_not_told,
+    "any process of a peer trusted": any_process_trusted,
+    "lease left out of the limit": lease_forgotten,
+}
--- a/coveflow/lab/truth.py
+++ b/coveflow/lab/truth.py
@@ -147,6 +147,9 @@
             self.truth.fall_back(self.spec.id, 0, self.progress(now))
             self.lost_at = now
 
+    def has(self, worker: Worker, attempt: Attempt) -> bool:
+        return self.members.get(attempt.task) == (worker, attempt)
+
     def stopped(self, worker: Worker, attempt: Attempt, grace_s: float, now: float) -> None:
         saves = self.spec.checkpoint_s > 0 and grace_s >= self.spec.save_s
         if self.began is None or not saves or self.lost_at < INF or attempt.state == "flushing":
--- a/coveflow/lab/virtual.py
+++ b/coveflow/lab/virtual.py
@@ -26,7 +26,7 @@
 
 from coveflow import settings as s
 from coveflow import wire
-from coveflow.core.model import Spec
+from coveflow.core.model import Report, Spec
 from coveflow.daemon.node import Node
 from coveflow.lab import serve
 from coveflow.lab import site as sites
@@ -34,9 +34,12 @@
 from coveflow.lab.cloud import Host
 from coveflow.lab.truth import INF
 from coveflow.lab.worker import Attempt, Worker
+from coveflow.net.http import Unavailable
+from coveflow.state.store import Conflict
 from coveflow.wire import far
 
 Handler = Callable[[Any], Awaitable[web.StreamResponse]]
+LATE_PART, LATE_S = 0.25, (2.0, 12.0)  # of transactions without an answer, and s to their effect
 POLL_S = 5.0  # s between a user's polls for a job; the protocol's own number
 STATE, CLOUD, FLEET = "state", "cloud", "fleet"  # the hosts that are no controllers
 
@@ -134,6 +137,12 @@
         yield SimpleNamespace(status=status, read=_given(body))
 
 
+async def _quiet(work: Awaitable[Any]) -> None:
+    """What fails is tried again by its own loop."""
+    with contextlib.suppress(Conflict, Unavailable):
+        await work
+
+
 def _given(body: bytes) -> Callable[[], Awaitable[bytes]]:
     async def read() -> bytes:
         return body
@@ -149,6 +158,7 @@
         super().__init__(site, {"nodes": list(world.controllers), "history": os.devnull})
 
         self.deaf: dict[str, tuple[float, float]] = {}  # to which nothing comes: since, until
+        self.away: dict[str, tuple[float, float]] = {}  # out of reach both ways: since, until
         self.copies = (0.0, 0.0, 0.0)  # of what part of the reports, s late at most, until when
 
     def note(self, kind: str, at: float, worker: Worker, attempt: Attempt) -> None:
@@ -159,18 +169,51 @@
         part, most_s, until = self.copies
         if sent < until and world.random.random() < part:
             again = world.random.choice([node, *world.controllers])
-            world.at(
-                sent + world.random.uniform(1.0, most_s),
-                lambda: world.places[FLEET].loop.create_task(
-                    self._ask(worker.zone, again, "POST", wire.BEAT, body)
-                ),
-            )
+            self._again(worker, again, body, sent + world.random.uniform(1.0, most_s))
+        away = self.away.get(worker.name, (0.0, 0.0))[1]
+        if sent < away:
+            # Its packets are held back and arrive when nobody waits for an answer any more.
+            self._again(worker, node, body, away + 0.01)
+            await asyncio.sleep(serve.ANSWER_S)
+            return 0, b""
         status, answer = await super()._post(worker, node, body)
+        while worker.hung_at is not None and worker.alive:  # noqa: ASYNC110 - of the lab's model
+            await asyncio.sleep(0.05)  # it takes what came when it goes on, or drops it as too late
+        if world.now - sent >= serve.ANSWER_S:
+            return 0, b""
         if world.now < self.deaf.get(worker.name, (0.0, 0.0))[1]:
             await asyncio.sleep(max(0.0, sent + serve.ANSWER_S - world.now))
             return 0, b""
+        if status == 200:
+            self._judged(worker, wire.read_report(body), answer, sent)
         return status, answer
 
+    def _again(self, worker: Worker, node: str, body: bytes, at: float) -> None:
+        """The report arrives then, and nobody waits for its answer."""
+        self.world.at(
+            at,
+            lambda: self.world.places[FLEET].loop.create_task(
+                self._ask(worker.zone, node, "POST", wire.BEAT, body)
+            ),
+        )
+
+    def _judged(self, worker: Worker, report: Report, answer: bytes, sent: float) -> None:
+        """The checker looks at each answer that renews the worker's lease."""
+        epoch, _, orders = far.read_orders(answer)
+        if not worker.alive or worker.tenure != report.tenure or (epoch or 0) < worker.epoch:
+            return
+        self.world.checker.see({
+            "kind": "renewed", "at": self.world.now, "sent": sent, "machine": worker.name,
+            "live": [(t.job, t.task) for t in report.tasks if t.state != "exited"],
+            "orders": [(order.verb, order.job, order.task) for order in orders],
+        })  # fmt: skip
+
+    def hang(self, name: str, for_s: float) -> None:
+        """The machine stands still, and goes on where it was if its lease allows."""
+        worker = self.workers[name]
+        worker.hang(self.world.now)
+        self.world.at(self.world.now + for_s, lambda: worker.resume(self.world.now))
+
     def restart(self, name: str, tenure: int) -> None:
         """The machine is back at once, with nothing on it, and counts its reports from one."""
         old = self.workers[name]
@@ -235,10 +278,11 @@
         self.cuts: list[Cut] = []
         self.kept: set[asyncio.Task[None]] = set()  # what is being served
         self.slow_store: dict[str, float] = {}  # s added to the store's answers to a node
+        self.late_writes_until = 0.0  # some transactions get no answer and are applied late
         self.told: list[tuple[float, str, dict[str, Any]]] = []
         self.polls = False  # whether users ask for what they submitted
         self.answers: dict[str, tuple[int, float]] = {}  # job: status of its submission, s it took
-        self.checker = Checker(site.teams, site.limits.cancel_s)
+        self.checker = Checker(site.teams, site.limits.cancel_s, site.limits.lease_s)
         fleet_loop = Loop(self)
         self.zones = {zone: Place(f"workers-{zone}", zone, fleet_loop) for zone in site.zones}
         with self.virtual():
@@ -381,6 +425,10 @@
             if there.name == STATE:
                 if self.slow_store.get(me.name):
                     await asyncio.sleep(self.slow_store[me.name])
+                if self._late(request):
+                    await asyncio.sleep(self.random.uniform(*LATE_S))
+                    await self.state.serve(me.name, request)
+                    return
                 response = await self.state.serve(me.name, request)
             else:
                 response = await there.handlers[address](request)
@@ -393,6 +441,23 @@
             answer = (500, str(error).encode())
         self._travel(there, me, lambda: self._settle_future(me, future, answer))
 
+    def _late(self, request: Request) -> bool:
+        """Whether this transaction is to get no answer, and to be carried out after newer ones."""
+        if self.now >= self.late_writes_until or request.path != wire.COMMIT:
+            return False
+        return self.random.random() < LATE_PART
+
+    def slow(self, by_s: float, for_s: float) -> None:
+        """The state service answers every controller late."""
+        self.slow_store.update(dict.fromkeys(self.controllers, by_s))
+        self.at(self.now + for_s, self.slow_store.clear)
+
+    def hand_over(self, name: str) -> None:
+        """The node hands the lead over, if it has it, as it does when it doubts itself."""
+        place = self.places[name]
+        if place.alive and place.node is not None and place.node.owner.leading:
+            place.loop.create_task(_quiet(place.node.membership._hand_over("a trouble")))
+
     def _lost(self, me: Place, there: Place, future: asyncio.Future[Any]) -> None:
         """The other process ended: its host resets the connection."""
         error = aiohttp.ServerDisconnectedError()
@@ -510,13 +575,15 @@
             node = names[(names.index(node) + 1) % len(names)]
             await asyncio.sleep(1.0)
 
-    def cancel(self, job: str) -> None:
-        """Asked at one node after the other until one answers."""
+    def cancel(self, job: str, node: str = "") -> None:
+        """Asked at one node after the other, from that one on, until one answers."""
         self.checker.see({"at": self.now, "kind": "cancel", "job": job})
-        self.places[FLEET].loop.create_task(self._cancel(job))
+        self.places[FLEET].loop.create_task(self._cancel(job, node))
 
-    async def _cancel(self, job: str) -> None:
-        for node in itertools.cycle(self.controllers):
+    async def _cancel(self, job: str, first: str) -> None:
+        names = list(self.controllers)
+        at = names.index(first) if first else 0
+        for node in itertools.cycle(names[at:] + names[:at]):
             if await self._asked(node, "POST", wire.WORK + "/" + job + wire.ABORT, "cancel", job):
                 return
             await asyncio.sleep(1.0)
--- a/coveflow/lab/worker.py
+++ b/coveflow/lab/worker.py
@@ -254,6 +254,12 @@
             attempt.ends += pause
             if attempt.began is not None:
                 attempt.began += pause
+        for attempt in [a for a in self.tasks.values() if a.state in ("running", "flushing")]:
+            if self.truth.specs[attempt.job].kind == "gang" and not (
+                self.truth.gang(attempt.job, attempt.number).has(self, attempt)
+            ):
+                # Its mates missed it and are gone; where all were here it once ran on for ever.
+                self.exits(attempt, "mates_gone", now)
         self.advance(now)
 
     # --- reports and orders --------------------------------------------------------------
--- a/coveflow/lab/worlds.py
+++ b/coveflow/lab/worlds.py
@@ -14,10 +14,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from coveflow.core.model import Spec
 from coveflow.core.zones import Zones
 from coveflow.lab import site as sites
-from coveflow.lab.cases import LONG, Case, Trouble, ends, nights, zones
+from coveflow.lab.cases import LONG, Case, Trouble, ends, meetings, nights, zones
 from coveflow.lab.truth import INF
 from coveflow.lab.virtual import CLOUD, STATE, World
 from coveflow.settings import Tuning
@@ -37,9 +39,11 @@
  (class tally (team blue){law}))"""
 
 
-def site(zones: Sequence[str], nodes: int, machines: int, run_s: float = 0.0) -> str:
+def site(
+    zones: Sequence[str], nodes: int, machines: int, run_s: float = 0.0, spot: int = 0
+) -> str:
     """A lab's text with this many machines up in each zone; tasks of `run_s`, or of about 5 s."""
-    there = f"(ordinary {machines}) (up {machines})"
+    there = f"(ordinary {machines}) (spot {spot}) (up {machines})"
     capacity = " ".join(f"(capacity m8 {name} {there})" for name in zones)
     law = f" (run-s {run_s:.1f} {1.5 * run_s:.1f} {2 * run_s:.1f})" if run_s else ""
     return SITE.format(nodes=nodes, zones=" ".join(zones), capacity=capacity, law=law)
@@ -83,12 +87,20 @@
     "ends": (ends, None),
     "zones": (zones, _no_zones),
     "nights": (nights, None),
+    "meetings": (meetings, None),
 }
 
 
 # --- playing -----------------------------------------------------------------------------
 
 
+# Some of every sort beside plain arrays: few tasks that end far apart, gangs, saving, slow images.
+SHAPES: list[dict[str, Any]] = [
+    {}, {"tasks": 2}, {"tasks": 3, "checkpoint_s": 4.0, "save_s": 2.0}, {"image_gb": 16.0},
+    {"tasks": 4, "kind": "gang", "checkpoint_s": 5.0, "save_s": 3.0}, {"tasks": 3, "kind": "gang"},
+]  # fmt: skip
+
+
 class _Lines(logging.Handler):
     """Errors of the controllers, attempts lost, and machines given back as silent."""
 
@@ -112,7 +124,9 @@
     """Play the case to the end of all its work, or until a rule breaks."""
     names = [f"zone-{i}" for i in range(case.zones)]
     nodes = {f"host-{i}": names[i % case.zones] for i in range(case.nodes)}
-    text = site(names, case.nodes, case.machines, case.run_s if case.polls else 0.0)
+    # Work that nobody waits for is given no ordinary machine while it has one at all.
+    spot = case.machines if case.shapes else 0
+    text = site(names, case.nodes, case.machines, case.run_s if case.polls else 0.0, spot)
     told = Told(case.name, case.seed)
     logger, lines = logging.getLogger("coveflow"), _Lines()
     level, logger.propagate = logger.level, False
@@ -164,6 +178,8 @@
             image="img", image_gb=1.0, types=None, zone=None, one_zone=False, spread=False,
             spot=True, expected_s=case.run_s, checkpoint_s=0.0, save_s=0.0, deadline_s=None,
         )  # fmt: skip
+        if case.shapes:
+            spec = msgspec.structs.replace(spec, **SHAPES[i % len(SHAPES)])
         node = names[i % len(names)]
         world.at(3.0 + i, lambda spec=spec, node=node: world.submit(spec, node))
 
@@ -233,6 +249,15 @@
     elif trouble.what == "freeze":
         for name in who:
             world.freeze(name, trouble.for_s)
+    elif trouble.what == "refused":
+        world.state.refused.update(dict.fromkeys(who, world.now + trouble.for_s))
+    elif trouble.what == "slow":
+        world.slow(float(trouble.who[0]), trouble.for_s)
+    elif trouble.what == "late writes":
+        world.late_writes_until = world.now + trouble.for_s
+    elif trouble.what == "hand":
+        for name in who:
+            world.hand_over(name)
     elif trouble.what == "sever":
         world.cut(
             trouble.for_s, lambda a, b: a.name in who and (b.name == STATE or b.node is not None)
@@ -246,12 +271,18 @@
     fleet, live = world.fleet, sorted(n for n, w in world.fleet.workers.items() if w.alive)
     if trouble.what == "copies":
         fleet.copies = (0.3, LONG * world.site.limits.lease_s, world.now + trouble.for_s)
-    elif trouble.what == "deaf":
+    elif trouble.what in ("deaf", "away", "hang"):
         zone = world.site.zones[-1]
         count = {"one": 1, "few": 3}.get(trouble.who[0], len(live))
         some = [n for n in live if count < len(live) or fleet.workers[n].zone == zone]
-        busy = sorted(some, key=lambda n: (-len(fleet.workers[n].tasks), n))
-        fleet.deaf |= dict.fromkeys(busy[:count], (world.now, world.now + trouble.for_s))
+        busy = sorted(some, key=lambda n: (-len(fleet.workers[n].tasks), n))[:count]
+        until = world.now + trouble.for_s
+        if trouble.what == "hang":
+            for name in busy:
+                fleet.hang(name, trouble.for_s)
+        else:
+            table = fleet.deaf if trouble.what == "deaf" else fleet.away
+            table |= dict.fromkeys(busy, (world.now, until))
     elif trouble.what == "reborn":
         name = world.random.choice(live)
         fleet.restart(name, 1 if trouble.who[0] == "first" else fleet.workers[name].tenure)
--- a/tests/test_modelcheck.py
+++ b/tests/test_modelcheck.py
@@ -5,7 +5,7 @@
 import pytest
 
 from coveflow.lab import modelcheck as mc
-from coveflow.lab.planted import PLANTED
+from coveflow.lab.planted import PLANTED, PLANTED_CANCELLED
 
 
 @pytest.fixture(autouse=True)
@@ -24,16 +24,19 @@
 
 def test_no_rule_breaks_on_long_paths():
     assert not mc.walks(300).broken
+    assert not mc.walks(300, cancelled=True).broken
 
 
-@pytest.mark.parametrize("bug", PLANTED, ids=str)
+@pytest.mark.parametrize("bug", [*PLANTED, *PLANTED_CANCELLED], ids=str)
 def test_a_planted_bug_is_found(bug):
-    with PLANTED[bug]():
-        found = mc.walks(4000)
+    cancelled = bug in PLANTED_CANCELLED
+    with (PLANTED | PLANTED_CANCELLED)[bug]():
+        found = mc.walks(4000, cancelled=cancelled)
     assert found.broken, f"not found in {found.states} paths"
     # And by the bug's doing: the same path breaks nothing on the real code.
     with mc.stepped():
-        model = mc.Model(at_once=1 + (found.states - 1) % 2, bounds=mc.WIDE)
+        bounds = mc.CANCELLED if cancelled else mc.WIDE
+        model = mc.Model(at_once=1 + (found.states - 1) % 2, bounds=bounds)
         for choice in found.path:
             if choice in model.choices():
                 model.do(choice)
