Cancellations known in one place, from which every answer to a worker is made

Cause: a lease was renewed by the later of the store's and the peers' word, and leaders knew cancellations from the store alone.

- core.cancellations: what is known, by whom, up to when; a process of a peer counts from a store contact that was asked for after it was heard; polls and repeated submissions that tell 'cancelled' are told to peers; a word that is missing or can't be read counts as unknown.
- Copies, older sessions and tasks not on record get the stops too; cancelled work is never given time to save by a later stop.
- A new leader stops restored attempts of cancelled jobs: they ran on until 0.6 of cancel_s.
- Machines that hang with cancelled work go back though nobody has the store.
- Mail is guarded by its revision against late copies.
Words, mail, replies and views that can't be read change nothing, are told once a minute and end no lead.

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -68,6 +68,8 @@
 RELAY_TIMEOUT_S = 2.0  # s; workers wait 4 s for an answer, this leaves room for a fallback
 BOUNCE_S = 6.0  # s; a worker that returns within this of its redirect cannot reach its owner
 CONTACT_MARGIN_S = 4.0  # s; kept between the last possible lease end and cancel_s
+CANCEL_KEPT_PARTS = 4.0  # times cancel_s that a cancellation is told to peers and remembered; all
+# its tasks are gone after one of them
 HOLD_ANSWER_S = 0.45  # s; longest an answer waits for the commit of what its report brought
 NAME_BYTES = 24  # bytes of a machine's name in a list, with room to spare
 IDLE_ANSWER_PART = 0.6  # part of report_s an idle machine's answer may wait for new work
--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -12,7 +12,7 @@
 from coveflow import constants as c
 from coveflow import wire
 from coveflow.core import routing
-from coveflow.core.model import Order, Report
+from coveflow.core.model import Report
 from coveflow.core.suspicion import Accrual
 from coveflow.daemon.commands import Heard, Vouched
 from coveflow.daemon.owner import Owner
@@ -60,11 +60,9 @@
         owner: Owner,
         peers: Peers,
         clock: Callable[[], float],
-        store_known_at: Callable[[], float],
         store: Store,
     ) -> None:
         self.settings, self.owner, self.peers, self.clock = settings, owner, peers, clock
-        self.store_known_at = store_known_at
         self.store = store
         self.posted: dict[str, Posted] = {}
         self.posting: asyncio.Task[None] | None = None
@@ -73,6 +71,7 @@
         self.exposed = NONE  # those that are no good homes just now
         self.nodes_at = -1e9
         self.mail_no = 0
+        self.mail_rev: int | None = None  # of this node's mail; None: not known
         self.vouched_at = -1e9
         self.mailed_at: dict[str, float] = {}
         self.redirected: dict[str, float] = {}
@@ -97,10 +96,7 @@
 
     def may_keep_alive(self) -> bool:
         """Whether a lease renewed now still ends before any unknown cancellation's limit."""
-        workers = self.settings.params.workers
-        known = max(self.store_known_at(), self.peers.known_at())
-        limit = workers.cancel_s - workers.lease_s - c.CONTACT_MARGIN_S
-        return self.clock() - known < limit
+        return self.owner.cancellations.may_renew(self.clock())
 
     async def handle(self, body: bytes) -> web.StreamResponse:
         try:
@@ -160,7 +156,7 @@
         if self.owner.leading:
             answer = await self.lead(report, patient=False)
             return web.Response(status=503 if answer is None else 200, body=answer)
-        return web.Response(body=wire.orders_answer(self.owner.inbox.view.epoch, []))
+        return self._stops_only(report)
 
     def _way_out(self, machine: str, now: float) -> str:
         """A node that the worker is better sent to: this one hears neither the store nor any other.
@@ -418,9 +414,12 @@
 
     def _keep_alive(self, report: Report, now: float) -> web.Response:
         self.kept[report.machine] = now
-        return web.Response(
-            body=wire.orders_answer(self.owner.inbox.view.epoch, self._stops(report))
-        )
+        return self._stops_only(report)
+
+    def _stops_only(self, report: Report) -> web.Response:
+        """Nothing but stops of cancelled work: all else is the leader's."""
+        inbox = self.owner.inbox
+        return web.Response(body=wire.orders_answer(inbox.view.epoch, inbox.stops(report)))
 
     # --- mail through the store ----------------------------------------------------------
 
@@ -462,16 +461,33 @@
                 "number": self.mail_no, "boot": self.peers.boot, "reports": mail, "alive": alive
             }  # fmt: skip
             try:
-                await self.store.commit({}, {MAIL + self.settings.name: value})
+                await self._write_mail(value)
             except (Unavailable, Conflict) as error:
                 log.debug("mail failed", why=error)
+                self.mail_rev = None
             await asyncio.sleep(MAIL_PACE_S)
 
-    def replied(self, value: dict[str, Any]) -> None:
+    async def _write_mail(self, value: dict[str, Any]) -> None:
+        """Guarded by the last mail's revision: one that the store carries out late, after newer
+        ones or an earlier process's, would tell the leader again that old reports' machines live.
+        """
+        key = MAIL + self.settings.name
+        if self.mail_rev is None:
+            _, self.mail_rev = await self.store.get(key)
+        self.mail_rev = await self.store.commit({key: self.mail_rev}, {key: value})
+
+    def replied(self, value: Any) -> None:
         """The leader's answers; each is good only for the very report it answers."""
-        if value["boot"] != self.peers.boot:
+        try:
+            rows = [(name, *row) for name, row in value["answers"].items()]
+            answers = [(name, tenure, counter, answer) for name, tenure, counter, answer in rows]
+            boot = value["boot"]
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            self._unreadable(error)
+            return
+        if boot != self.peers.boot:
             return
-        for machine, (tenure, counter, answer) in value["answers"].items():
+        for machine, tenure, counter, answer in answers:
             post = self.posted.get(machine)
             if (
                 post is not None
@@ -482,12 +498,18 @@
 
     async def answer_mail(self, member: str, value: dict[str, Any]) -> None:
         """On the leader: take in mailed reports and write the answers back."""
-        self.owner.put(Vouched(value["alive"]))
+        try:
+            alive, boot = [str(name) for name in value["alive"]], str(value["boot"])
+            rows = list(value["reports"].items())
+        except (AttributeError, KeyError, TypeError) as error:
+            self._unreadable(error)
+            return
+        self.owner.put(Vouched(alive))
         reports = []
-        for name, row in value["reports"].items():
+        for name, row in rows:
             try:
                 reports.append(wire.read_mail_report(name, row))
-            except (TypeError, ValueError) as error:
+            except wire.Malformed as error:
                 self._unreadable(error)
         tasks = [asyncio.create_task(self.lead(report, patient=False)) for report in reports]
         if not tasks:
@@ -502,26 +524,12 @@
                 if size > room:
                     break  # the others are asked again by their workers' next reports
                 answers[report.machine] = row
-        reply = {"boot": value["boot"], "answers": answers}
+        reply = {"boot": boot, "answers": answers}
         try:
             await self.store.commit({VIEW: self.owner.book.rev}, {REPLY + member: reply})
         except (Unavailable, Conflict) as error:
             log.debug("reply failed", member=member, why=error)
 
-    def _stops(self, report: Report) -> list[Order]:
-        """Only stops, and only for jobs known to be cancelled: nothing else is this node's."""
-        orders = []
-        for t in report.tasks:
-            if t.state == "exited":
-                continue
-            entry = self.owner.inbox.accepted.get(t.job)
-            if (entry is not None and entry.cancelled is not None) or (
-                t.job in self.peers.cancelled
-                or self.owner.inbox.terminal.get(t.job, {}).get("status") == "cancelled"
-            ):
-                orders.append(Order("stop", t.job, t.task, t.number))
-        return orders
-
     def hears(self) -> dict[str, tuple[float, int, int]]:
         """Age, tenure and counter of reports this node answered itself, for the leader's check."""
         now = self.clock()
--- a/coveflow/daemon/book.py
+++ b/coveflow/daemon/book.py
@@ -137,7 +137,9 @@
             self.tell(
                 "stopped", job=p.job, task=p.task, number=p.number, machine=p.machine, why=why
             )
-        p.stopping, p.grace_s = True, grace_s
+        # Nobody has any use for what is cancelled, and time to save was once given to it anew.
+        cancelled = self.jobs[p.job].cancelled is not None
+        p.stopping, p.grace_s = True, 0.0 if cancelled else grace_s
         self.wake(p.machine)
 
     def _asked(self, job: Job) -> None:
--- a/coveflow/daemon/commands.py
+++ b/coveflow/daemon/commands.py
@@ -114,6 +114,15 @@
     machines: list[str]
 
 
+class PeerWord(msgspec.Struct, eq=False):
+    """What another member told of the cancellations it confirmed; None: nothing of them."""
+
+    name: str
+    process: str
+    jobs: dict[str, float] | None
+    sent: float  # when that was sent which it answers
+
+
 class Prices(msgspec.Struct, eq=False):
     flavors: list[Flavor]
 
@@ -146,6 +155,7 @@
     | Refused
     | Returned
     | Vouched
+    | PeerWord
     | Prices
     | Release
     | Drain
--- a/coveflow/daemon/front.py
+++ b/coveflow/daemon/front.py
@@ -60,7 +60,6 @@
         self.batching: asyncio.Task[None] | None = None
         self.asked: dict[str, asyncio.Future[Checked]] = {}  # polls that share the next check
         self.checking: asyncio.Task[None] | None = None
-        self.cancels: dict[str, float] = {}  # what this process told users, for its peers
         # What another interface serves here: by the path's beginning.
         self.extra: dict[str, Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]] = {}
 
@@ -226,10 +225,18 @@
             return final
         checked = await self._checked(name)
         if checked.same:
-            # What was compared counts, not what this node knows by now.
-            return checked.known
+            # What was compared counts, not what this node knows by now, but for a cancellation
+            # confirmed meanwhile: its user may have that answer already, and it went back.
+            known, since = checked.known, self.owner.cancellations.since(name)
+            if known is not None and known.cancelled is None and since is not None:
+                known = msgspec.structs.replace(known, cancelled=since)
+            if known is not None and known.cancelled is not None:
+                self._confirm(name, known.cancelled)
+            return known
         value, rev = await self.store.get(sk.JOB + name)
         if value is not None:
+            if isinstance(value, dict) and value.get("cancel") is not None:
+                self._confirm(name, value["cancel"])
             try:
                 return cm.accepted_of(msgspec.convert(value["spec"], Spec), value, rev)
             except UNREADABLE:
@@ -242,6 +249,15 @@
             self.owner.inbox.remember_terminal(name, value)
         return value
 
+    def _confirm(self, name: str, cancelled: object) -> None:
+        """Peers must learn from this process what its user is about to be told.
+
+        Whoever wrote the cancellation may have told nobody. One whose final record is written needs
+        no word: all its tasks were proven gone before.
+        """
+        at = cancelled if isinstance(cancelled, int | float) else self.wall()
+        self.owner.cancellations.confirm(name, at, self.clock())
+
     def _state(self, name: str, cancelled: bool) -> web.StreamResponse:
         done, running, _ = self.counts(name)
         if cancelled:
@@ -338,15 +354,21 @@
         asks for rights which this one does not know.
         """
 
+        at: list[Any] = [None]
+
         def mark(value: dict[str, Any]) -> dict[str, Any] | None:
             if native and value.get("rider") is not None:
                 raise Foreign
-            return {**value, "cancel": self.wall()} if value.get("cancel") is None else None
+            at[0] = value.get("cancel")
+            if at[0] is not None:
+                return None
+            at[0] = self.wall()
+            return {**value, "cancel": at[0]}
 
         if not await self.amend(name, mark):
             return False
         # Peers must learn of it from this process before its user does.
-        self.cancels[name] = self.clock()
+        self.owner.cancellations.confirm(name, at[0], self.clock())
         log.info("job cancelled by its user", job=name)
         return True
 
@@ -375,13 +397,6 @@
             self.owner.put(cm.InboxRows([(sk.JOB + name, new, rev)]))
             return True
 
-    def recent_cancels(self) -> list[str]:
-        limit = self.settings.params.workers.cancel_s * 4
-        now = self.clock()
-        for name in [n for n, at in self.cancels.items() if now - at > limit]:
-            del self.cancels[name]
-        return list(self.cancels)
-
 
 def rider_of(found: cm.Accepted | dict[str, Any]) -> Any:
     """What another interface keeps with the job; None for a native one."""
--- a/coveflow/daemon/inbox.py
+++ b/coveflow/daemon/inbox.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from coveflow import constants as c
-from coveflow.core.model import Flavor, Spec
+from coveflow.core.cancellations import Cancellations
+from coveflow.core.model import Flavor, Order, Report, Spec
 from coveflow.daemon.commands import Accepted, InboxRows, accepted_of
 from coveflow.logs import Log
 from coveflow.state.keys import JOB, MAIL, MEMBER, REPLY, TYPES, VIEW, View, view_of
@@ -23,8 +24,9 @@
 class Inbox:
     """Changed by rows of the store only, each newer than the last of its key."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, cancellations: Cancellations) -> None:
         self.name = name
+        self.cancellations = cancellations  # by whatever word, not the store's alone
         self.view = View()
         self.members: dict[str, int] = {}
         self.accepted: dict[str, Accepted] = {}
@@ -53,7 +55,12 @@
     def _row(self, key: str, value: Any, rev: int) -> None:
         if key == VIEW:
             if value is not None and rev > self.view.rev:
-                self.view = view_of(value, rev)
+                try:
+                    self.view = view_of(value, rev)
+                except UNREADABLE as error:
+                    # No other row may wait for it, and a leader's commits guard the one before.
+                    log.error("view can't be read", why=error)
+                    return
                 log.info("view", epoch=self.view.epoch, leader=self.view.leader)
         elif key == TYPES:
             if value is not None and rev > self.types_rev:
@@ -95,9 +102,44 @@
             # It is known to its user by the store's word; no other job may wait for its sake.
             log.error("job record can't be read", job=name, why=error)
             return
+        if entry.cancelled is None:
+            entry.cancelled = self.cancellations.since(name)  # an older row came after the news
         self.accepted[name] = entry
         self.on_job(entry)
 
+    # --- cancellations -------------------------------------------------------------------
+
+    def told_cancelled(self, jobs: list[str]) -> None:
+        """Peers told that these are cancelled; the store, whose word it was, will tell so too."""
+        for name in jobs:
+            entry = self.accepted.get(name)
+            if entry is not None and entry.cancelled is None:
+                cancelled = self.cancellations.since(name)
+                # A new one: a poll under way compares the one that it asked the store about.
+                entry = self.accepted[name] = msgspec.structs.replace(entry, cancelled=cancelled)
+                self.on_job(entry)
+
+    def cancelled(self, job: str) -> bool:
+        """Whether the job is known to be cancelled, by whatever word."""
+        entry = self.accepted.get(job)
+        return (
+            (entry is not None and entry.cancelled is not None)
+            or job in self.cancellations
+            or self.terminal.get(job, {}).get("status") == "cancelled"
+        )
+
+    def stops(self, report: Report) -> list[Order]:
+        """Of all that the report names of cancelled jobs: the least that any 200 has to bring.
+
+        Two places once knew cancellations, one from the peers and one from the store, and leaders
+        answered by the store's alone.
+        """
+        return [
+            Order("stop", t.job, t.task, t.number)
+            for t in report.tasks
+            if t.state != "exited" and self.cancelled(t.job)
+        ]
+
     def remember_terminal(self, job: str, record: dict[str, Any]) -> None:
         """A final state never changes, so it may be told without asking again."""
         self.terminal[job] = record
--- a/coveflow/daemon/keeper.py
+++ b/coveflow/daemon/keeper.py
@@ -134,6 +134,22 @@
         machines = self.book.machines
         return [name for name in names if name not in machines or machines[name].returning]
 
+    def overdue(self, names: list[str]) -> list[str]:
+        """Those of the machines on which cancelled work may be that has to be gone soon."""
+        jobs, machines = self._overdue_jobs(), self.book.machines
+        return [
+            name for name in names
+            if name in machines and any(p.job in jobs for p in machines[name].placements.values())
+        ]  # fmt: skip
+
+    def _overdue_jobs(self) -> set[str]:
+        late = self.around.wall() - self.params.workers.cancel_s * c.CANCEL_RETURN_PART
+        return {
+            job.id
+            for job in self.book.jobs.values()
+            if job.cancelled is not None and job.cancelled < late
+        }
+
     def _silent(self, now: float) -> list[str]:
         workers = self.params.workers
         patience = workers.lease_s + c.SILENT_MARGIN_S
@@ -142,12 +158,7 @@
         unheard = patience
         if not self.around.peers_known():
             unheard += workers.cancel_s - workers.lease_s - c.CONTACT_MARGIN_S
-        late = self.around.wall() - workers.cancel_s * c.CANCEL_RETURN_PART
-        overdue = {
-            job.id
-            for job in self.book.jobs.values()
-            if job.cancelled is not None and job.cancelled < late
-        }
+        overdue = self._overdue_jobs()
         waits_for, _ = self._many_deaf()
         silent: list[str] = []
         lost: dict[str, list[Machine]] = {}  # silent ones of zones that are gone
--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -84,6 +84,7 @@
             self.relayed,
             self.viewed,
             lambda: self.owner.inbox.view.leader,
+            lambda *word: self.owner.put(cm.PeerWord(*word)),
         )
         self.membership = Membership(
             settings,
@@ -102,7 +103,6 @@
             self.owner,
             self.peers,
             self.clock,
-            lambda: self.membership.known_at,
             self.store,
         )
         self.front = Front(
@@ -121,7 +121,7 @@
         self.pace_s = 0.0  # how late this node's timers fire, fading
         if tuning.trace:
             self.owner.around.trace = Tracer(tuning.trace, self.clock, self.wall, self.peers.boot)
-        self.membership.on_contact = self.peers.on_contact
+        self.membership.on_contact = self.owner.cancellations.store_answered
         self.owner.around.effects = self.effect
         self.owner.around.peer_hears = self.peers.hears
         self.owner.around.peers_known = self.peers.all_fresh
@@ -143,7 +143,7 @@
             "view_rev": self.owner.inbox.view.rev,
             "leading": bool(self.owner.leading),
             "store_age": now - self.store.contact,
-            "cancels": self.front.recent_cancels(),
+            "cancelled": self.owner.cancellations.word(now),
             "hears": self.agents.hears(),
             "counts": self.owner.counts if self.owner.leading else {},
             "word": msgspec.to_builtins(self.word()),
@@ -280,19 +280,41 @@
                 await self.cloud.give_back(names)
             return cm.Returned(names)
 
-        await self._of_the_cloud("return", ask)
+        async def overdue() -> None:
+            names = self.owner.keeper.overdue(machines)
+            # Where nobody has the store nobody can take the lead from this node. Machines that hang
+            # kept cancelled work past its user's limit, waiting for the end of an outage.
+            if names and self.peers.all_fresh() and not self.peers.store_works():
+                await self.cloud.give_back(names)
+                log.info("returned without the store's word", machines=names)
+                self.owner.put(cm.Returned(names))
+
+        await self._of_the_cloud("return", ask, overdue)
+
+    async def _of_the_cloud(
+        self,
+        what: str,
+        ask: Callable[[], Awaitable[cm.Command]],
+        unconfirmed: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
+        """Ask until it is answered and tell the owner; not at all once another node leads.
 
-    async def _of_the_cloud(self, what: str, ask: Callable[[], Awaitable[cm.Command]]) -> None:
-        """Ask until it is answered and tell the owner; not at all once another node leads."""
+        `unconfirmed` does what cannot wait for the store to say who leads.
+        """
         pause = c.RETRY_S
         while True:
             try:
-                if not await self._still_leading():
-                    return
+                try:
+                    if not await self._still_leading():
+                        return
+                except Unavailable:
+                    if unconfirmed is not None:
+                        await unconfirmed()
+                    raise
                 self.owner.put(await ask())
                 return
             except Unavailable as error:
-                log.debug("cloud did not answer", what=what, why=error)
+                log.debug("not asked of the cloud yet", what=what, why=error)
             await asyncio.sleep(pause)
             pause = min(pause * 2, c.RETRY_MAX_S)
 
--- a/coveflow/daemon/owner.py
+++ b/coveflow/daemon/owner.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from coveflow import constants as c
+from coveflow.core.cancellations import Cancellations
 from coveflow.daemon.around import Around
 from coveflow.daemon.book import Book
 from coveflow.daemon.commands import (
@@ -26,6 +27,7 @@
     Heard,
     InboxRows,
     Lead,
+    PeerWord,
     Prices,
     Refused,
     Release,
@@ -60,7 +62,12 @@
     ) -> None:
         self.around = Around(settings, tuning, clock, wall, Meters())
         self.queue: asyncio.Queue[Command] = asyncio.Queue()
-        self.inbox = Inbox(settings.name)
+        workers = settings.params.workers
+        self.cancellations = Cancellations(
+            [member.name for member in settings.members if member.name != settings.name],
+            workers.cancel_s, workers.lease_s,
+        )  # fmt: skip
+        self.inbox = Inbox(settings.name, self.cancellations)
         self.inbox.on_job = self._on_job
         self.inbox.on_mail = self._on_mail
         self.inbox.on_reply = lambda value: self.around.effects("reply", value)
@@ -150,6 +157,8 @@
                 for name in command.machines:
                     if name in self.book.machines:
                         self.book.machines[name].vouched = self.around.clock()
+            case PeerWord():
+                self._peer_word(command)
             case Release() | Drain() if not self.leading:
                 command.reply.set_result(None)
             case _:
@@ -182,6 +191,14 @@
 
     # --- inbox -------------------------------------------------------------------------
 
+    def _peer_word(self, command: PeerWord) -> None:
+        now = self.around.clock()
+        self.inbox.told_cancelled(
+            self.cancellations.peer_told(
+                command.name, command.process, command.jobs, command.sent, now
+            )
+        )
+
     def _inbox_rows(self, command: InboxRows) -> None:
         self.inbox.take(command)
         view = self.inbox.view
--- a/coveflow/daemon/reports.py
+++ b/coveflow/daemon/reports.py
@@ -58,7 +58,7 @@
                 return
         elif report.tenure < m.tenure:
             # On record with a later session, though this leader has yet to hear it.
-            reply.set_result(self.around.answer(book.leading, []))
+            reply.set_result(self.around.answer(book.leading, self.inbox.stops(report)))
             return
         if m.address != report.address:
             m.address = report.address
@@ -122,7 +122,8 @@
         if held is not None and (report.tenure, report.counter) == m.newest:
             held.again.append(reply)
             return
-        reply.set_result(self.around.answer(self.book.leading, []))
+        # It may be no copy but a machine that counts from the beginning, whose lease this renews.
+        reply.set_result(self.around.answer(self.book.leading, self.inbox.stops(report)))
 
     def _new(self, report: Report, now: float) -> Machine | None:
         """A machine that is not on record; None while its type is not known.
@@ -328,6 +329,8 @@
                 # An end is cleared only after its commit: the report is its only proof.
                 if p is None and key not in m.clearing:
                     orders.append(Order("clear", *key))
+            elif p is None and self.inbox.cancelled(t.job):
+                orders.append(Order("stop", *key))  # whoever started it
             elif p is None:
                 if key not in m.clearing and report.epoch == self.book.leading:
                     count = 0 if peek else self.unasked.due(self.around.clock())
--- a/coveflow/daemon/restore.py
+++ b/coveflow/daemon/restore.py
@@ -57,6 +57,12 @@
         book.fail_held(job)
         if job.over:
             book.dirty_jobs[job.id] = None
+    for m in book.machines.values():
+        for p in m.placements.values():
+            if book.jobs[p.job].cancelled is not None:
+                # Its leader ended before it stopped them all: they once ran on until their machines
+                # went back, for that alone, at 0.6 of the user's limit.
+                book.stop(p, 0.0, "its user cancelled it")
     book.unheard = set(book.machines)
     return history_rev
 
--- a/coveflow/membership/lead.py
+++ b/coveflow/membership/lead.py
@@ -41,7 +41,7 @@
         self.leaving = Leaving()
         self.absent_since: float | None = None  # since when no member leads
         self.known_at = -1e9  # every cancellation committed before this is known here
-        self.on_contact: Callable[[], None] = lambda: None
+        self.on_contact: Callable[[float], None] = lambda sent: None
         self.retake = False
         self.grant: int | None = None
         self.joined_at = math.inf  # when its member key was last hung on its own hold
@@ -155,7 +155,7 @@
 
     def _contact(self, sent: float) -> None:
         self.known_at = max(self.known_at, sent)
-        self.on_contact()
+        self.on_contact(sent)
 
     async def _tell(self, rows: list[Row], listed: int | None) -> None:
         if rows or listed is not None:
--- a/coveflow/membership/peers.py
+++ b/coveflow/membership/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import uuid
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
@@ -14,9 +15,10 @@
 from coveflow import constants as c
 from coveflow import wire
 from coveflow.core.suspicion import Suspicion
-from coveflow.logs import Log
+from coveflow.logs import Log, Seldom
 from coveflow.net.http import Client, Refused, Unavailable
 from coveflow.settings import Member, Settings
+from coveflow.state.keys import view_of
 
 log = Log("coveflow.peers")
 
@@ -31,7 +33,6 @@
     client: Client
     answered: float = -1e9  # when the newest answered ping was sent
     boot: str = ""
-    trusted_boot: str = ""  # the process it was when this node last had store contact itself
     epoch: int = 0
     leading: bool = False
     store_age: float = 1e9
@@ -40,6 +41,32 @@
     counts: dict[str, list[int]] = {}
 
 
+class Info(msgspec.Struct):
+    """What a node tells another of itself, in answer to a ping or with a batch."""
+
+    name: str
+    boot: str
+    epoch: int
+    leading: bool
+    store_age: float
+    view: dict[str, Any]
+    view_rev: int
+    hears: dict[str, tuple[float, int, int]]
+    counts: dict[str, list[int]]
+    # What it confirmed to users lately, with times of day; an older build tells it otherwise, and
+    # such a word counts as unknown.
+    cancelled: dict[str, float] | None = None
+    word: dict[str, Any] | None = None
+
+
+def read_cancelled(jobs: dict[str, float]) -> dict[str, float]:
+    """A word's cancellations; ValueError where a job or a time is none."""
+    for job, at in jobs.items():
+        if not wire.JOB_ID.fullmatch(job) or not math.isfinite(at):
+            raise ValueError(f"no cancellation: {job!r} at {at}")
+    return jobs
+
+
 class Peers:
     def __init__(
         self,
@@ -50,9 +77,11 @@
         relay: Callable[[bytes], Any],
         on_view: Callable[[dict[str, Any], int], None] = lambda view, rev: None,
         leader: Callable[[], str] = lambda: "",
+        on_word: Callable[[str, str, dict[str, float] | None, float], None] = lambda *word: None,
     ) -> None:
+        """`on_word` hears of cancellations: node, its process, which ones, when it was asked."""
         self.settings, self.clock, self.info, self.relay = settings, clock, info, relay
-        self.on_view, self.leader = on_view, leader
+        self.on_view, self.leader, self.on_word = on_view, leader, on_word
         self.boot = uuid.uuid4().hex
         self.suspicion = Suspicion(
             settings.name, (member.name for member in settings.members), c.PING_S, clock()
@@ -65,7 +94,7 @@
         }
         # Paths that operators' tools ask, and who answers: (path, body) to (status, body).
         self.asked_of: dict[str, Callable[[str, bytes], Awaitable[tuple[int, bytes]]]] = {}
-        self.cancelled: set[str] = set()  # cancellations heard of from peers
+        self.unreadable = Seldom()
         self.heard_at = clock()  # when any peer was last in contact, either way
 
     def get(self, name: str) -> Peer | None:
@@ -104,20 +133,6 @@
         """Whether some reachable peer had an answer from the state service just now."""
         return any(self.fresh(n) and p.store_age < c.PEER_FRESH_S for n, p in self.peers.items())
 
-    def on_contact(self) -> None:
-        for peer in self.peers.values():
-            peer.trusted_boot = peer.boot
-
-    def known_at(self) -> float:
-        """All cancellations told to users before this are known, by the peers' own word.
-
-        Only members commit cancellations, so the word of every one of them is as good as the
-        store's; a member that was restarted since may have forgotten one.
-        """
-        if any(p.boot != p.trusted_boot or not p.boot for p in self.peers.values()):
-            return -1e9
-        return min((p.answered for p in self.peers.values()), default=-1e9)
-
     def lost(self) -> bool:
         """Whether nothing is heard of any other node, none of which refuses, for a while."""
         now = self.clock()
@@ -160,7 +175,7 @@
                 )
                 if status == 200:
                     self.heard(peer, wire.unpack(body), sent)
-            except (Unavailable, wire.Malformed, KeyError, TypeError) as error:
+            except (Unavailable, wire.Malformed) as error:
                 log.debug("ping failed", peer=peer.member.name, why=error)
                 peer.refuses = isinstance(error, Refused)
             await asyncio.sleep(max(0.05, self._every_s(peer.member.name) - (self.clock() - sent)))
@@ -169,22 +184,43 @@
         """s between pings of the node: those that do not lead ask each other more rarely."""
         return c.PING_S if self.leader() in (name, self.settings.name) else c.PING_FAR_S
 
-    def heard(self, peer: Peer, data: dict[str, Any], sent: float) -> None:
-        """The node's word, in answer to what was sent to it then."""
-        peer.boot, peer.refuses = data["boot"], False
-        peer.epoch, peer.leading = data["epoch"], data["leading"]
-        peer.store_age = data["store_age"]
+    def heard(self, peer: Peer, data: Any, sent: float) -> None:
+        """The node's word, in answer to what was sent to it then; ignored where it can't be read.
+
+        All of it is read before any of it counts: half a word once left a process that was new
+        with the contact of the one before.
+        """
+        name = peer.member.name
+        try:
+            info = msgspec.convert(data, Info)
+            view_of(info.view, info.view_rev)
+            cancelled = None if info.cancelled is None else read_cancelled(info.cancelled)
+        except (msgspec.ValidationError, TypeError, ValueError) as error:
+            self._unread(name, error)
+            return
+        if info.name != name:
+            self._unread(name, f"{info.name} answers at its address")
+            return
+        peer.boot, peer.refuses = info.boot, False
+        peer.epoch, peer.leading = info.epoch, info.leading
+        peer.store_age = info.store_age
+        # Before all that follows from it, so that no lease is renewed on the strength of a word
+        # whose cancellations are not known yet.
+        self.on_word(name, info.boot, cancelled, sent)
         # A leader that only the store refuses never learnt that it was deposed: workers stayed
         # with it, and the new leader gave the whole fleet back as silent.
-        self.on_view(data["view"], data["view_rev"])
-        peer.hears = data["hears"]
-        peer.counts = data["counts"]
-        self.cancelled.update(data["cancels"])
+        self.on_view(info.view, info.view_rev)
+        peer.hears, peer.counts = info.hears, info.counts
         peer.answered = max(peer.answered, sent)
         self.heard_at = now = self.clock()
-        self.suspicion.alive(data["name"], now)
-        self.suspicion.booted(data["name"], data["boot"], now)
-        self.suspicion.said(data["name"], data.get("word") or {}, now)
+        self.suspicion.alive(name, now)
+        self.suspicion.booted(name, info.boot, now)
+        self.suspicion.said(name, info.word or {}, now)
+
+    def _unread(self, name: str, why: object) -> None:
+        count = self.unreadable.due(self.clock())
+        if count:
+            log.warning("words of nodes that can't be read", count=count, node=name, why=why)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.method != "POST":
--- a/coveflow/wire/__init__.py
+++ b/coveflow/wire/__init__.py
@@ -243,14 +243,19 @@
 
 
 def read_mail_report(machine: str, row: list[Any]) -> Report:
-    *head, jobs = row
-    tasks = [
-        TaskReport(job, task, number, state, why, saved)
-        for job, rows in jobs.items()
-        for number, state, why, saved, flat in rows
-        for task in unranges(flat)
-    ]
-    return Report(machine, *head, tasks)
+    try:
+        *head, jobs = row
+        tasks = [
+            TaskReport(job, task, number, state, why, saved)
+            for job, rows in jobs.items()
+            for number, state, why, saved, flat in rows
+            for task in unranges(flat)
+        ]
+        # Checked like a worker's own: one that named a text as its session would end the lead.
+        report = msgspec.to_builtins(Report(machine, *head, tasks))
+        return msgspec.convert(report, Report)
+    except (msgspec.ValidationError, AttributeError, TypeError, ValueError) as error:
+        raise Malformed(str(error)) from error
 
 
 def orders_answer(epoch: int, orders: list[Order]) -> bytes:
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -4,16 +4,22 @@
 from types import SimpleNamespace
 
 import cbor2
+import msgspec
 import pytest
 
+from coveflow import wire
+from coveflow.core.cancellations import Word
 from coveflow.core.model import Machine
 from coveflow.daemon import commands as cm
 from coveflow.daemon import owner as o
 from coveflow.daemon.agents import Agents
-from coveflow.membership.peers import Peers
+from coveflow.lab.replies import Reply
+from coveflow.membership.peers import Peer, Peers
 from coveflow.net.http import Unavailable
+from coveflow.settings import Member
 from coveflow.state import keys as sk
 from tests.samples import flavor
+from tests.samples import spec as job_spec
 from tests.world import CANCEL_S, LEASE_S, node_settings
 
 BEAT = {
@@ -26,13 +32,18 @@
     """A store whose mails are answered by a leader, as `answer` decides."""
 
     def __init__(self, answer) -> None:
-        self.contact, self.answer, self.agents = 1e9, answer, None
+        self.contact, self.answer, self.agents, self.rev = 1e9, answer, None, 0
+
+    async def get(self, key):
+        return None, 0
 
     async def commit(self, guards, writes):
         ((key, value),) = writes.items()
         assert key == sk.MAIL + "b" and value["reports"]["n-1"][5] >= 7
+        assert guards == {key: self.rev}
+        self.rev += 1
         self.agents.replied(self.answer(value))
-        return 1
+        return self.rev
 
 
 def follower(answer, clock=lambda: 100.0):
@@ -42,10 +53,18 @@
     store = Mailbox(answer)
     peers = Peers(settings, None, clock, dict, None)
     peers.suspicion.began = clock() - 60.0  # it never heard the leader in all that time
-    store.agents = Agents(settings, owner, peers, clock, lambda: 100.0, store)
+    owner.cancellations.store_answered(100.0)
+    store.agents = Agents(settings, owner, peers, clock, store)
     return store.agents
 
 
+def word_of(node: str, **fields) -> dict:
+    """A ping's answer of that node."""
+    word = {"name": node, "boot": "x", "epoch": 4, "leading": True, "store_age": 0.1}
+    word |= {"hears": {}, "counts": {}, "cancelled": {}}
+    return word | {"view": sk.view_value(sk.View(4, "b", ["b"], 12)), "view_rev": 12} | fields
+
+
 def beat(agents, **fields) -> dict:
     return cbor2.loads(asyncio.run(agents.handle(cbor2.dumps(BEAT | fields))).body)
 
@@ -67,22 +86,12 @@
 def test_leases_are_not_kept_once_a_cancellation_could_be_unknown():
     now = SimpleNamespace(t=100.0)
     agents = follower(lambda mail: {"boot": "", "answers": {}}, lambda: now.t)
-    agents.peers.known_at = lambda: -1e9
     assert agents.may_keep_alive()
     now.t = 100.0 + CANCEL_S - LEASE_S
     assert not agents.may_keep_alive()
     assert asyncio.run(agents.handle(cbor2.dumps(BEAT))).status == 503
 
 
-def test_a_restarted_members_word_about_cancellations_does_not_count():
-    peer = SimpleNamespace(boot="one", trusted_boot="one", answered=50.0)
-    peers = Peers(node_settings("b", []), None, lambda: 60.0, dict, None)
-    peers.peers = {"a": peer}
-    assert peers.known_at() == 50.0
-    peer.boot = "two"
-    assert peers.known_at() < 0
-
-
 def test_a_leader_that_only_the_store_refuses_learns_from_a_peer_that_it_is_deposed():
     """Its workers stayed with it, and the new leader returned all of them as silent."""
     settings = node_settings("a", [])
@@ -92,11 +101,7 @@
     assert owner.leading == 3
     rows = []
     peers = Peers(settings, None, lambda: 9.0, dict, None, lambda *row: rows.append(row))
-    peer = SimpleNamespace(answered=0.0)
-    word = {"name": "b", "boot": "x", "epoch": 4, "leading": True, "store_age": 0.1}
-    word |= {"hears": {}, "counts": {}, "cancels": []}
-    word |= {"view": sk.view_value(sk.View(4, "b", ["b"], 12)), "view_rev": 12}
-    peers.heard(peer, word, 8.9)
+    peers.heard(Peer(Member("b", "south", ""), None), word_of("b"), 8.9)
     owner.work([cm.InboxRows([(sk.VIEW, *row)]) for row in rows])
     assert owner.leading == 0 and (owner.inbox.view.epoch, owner.inbox.view.leader) == (4, "b")
 
@@ -181,7 +186,7 @@
             raise Unavailable("hung")
 
     peer = agents.peers.peers["a"] = SimpleNamespace(
-        client=Hanging(), leading=True, answered=99.9, boot="x", trusted_boot="x"
+        client=Hanging(), leading=True, answered=99.9, boot="x"
     )
     agents.redirected["n-1"] = 99.0  # it has just come back from the leader
     assert beat(agents) == {"epoch": 3, "orders": []} and peer.leading
@@ -216,3 +221,85 @@
     peers = agents.peers
     peers.peers["c"] = SimpleNamespace(hears={"n-1": (0.0, 1, 9)}, answered=100.0)
     assert peers.hears("n-1", 10.0, (1, 8)) and not peers.hears("n-1", 10.0, (1, 9))
+
+
+def test_a_copy_is_told_to_stop_cancelled_work_by_follower_and_leader():
+    """It may be a machine that counts from the beginning: the answer renews its lease."""
+    agents = follower(lambda mail: {"boot": "", "answers": {}}, lambda: 100.0)
+    agents.store.contact = -1e9
+    owner = agents.owner
+    live = [{"piece": "j-000001/0", "try": 1, "status": "running"},
+            {"piece": "j-000002/0", "try": 1, "status": "running"}]  # fmt: skip
+    stops = [{"verb": "stop", "piece": "j-000001/0", "try": 1, "wind_down_s": 0.0}]
+    owner.cancellations.words["a"] = Word()
+    owner.work([cm.PeerWord("a", "x", {"j-000001": 90.0}, 99.0)])
+    assert beat(agents, counter=9, pieces=live)["orders"] == stops
+    assert beat(agents, counter=8, pieces=live)["orders"] == stops
+    # And by the leader that had a newer one, or has a later session on record.
+    m = owner.book.machines["n-1"] = Machine("n-1", "", flavor(), "north", False)
+    for m.tenure, m.counter in ((1, 50), (7, -1)):
+        owner.book.leading, answers = 3, []
+        report = wire.read_report(cbor2.dumps(BEAT | {"pieces": live}))
+        owner.work([cm.Heard(report, Reply(answers.append))])
+        assert cbor2.loads(answers[0])["orders"] == stops
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"name": "c"}, {"boot": 7}, {"epoch": "x"}, {"view": {"epoch": "x"}}, {"hears": {"n": 1}},
+        {"cancelled": {"nonsense": 1.0}}, {"cancelled": {"j-000001": float("nan")}},
+        {"cancelled": ["j-000001"]}, {"counts": 3}, {"store_age": None},
+    ],
+)  # fmt: skip
+def test_a_word_that_cannot_be_read_changes_nothing_and_is_told_once_a_minute(bad, caplog):
+    heard = []
+    peers = Peers(
+        node_settings("a", []), None, lambda: 9.0, dict, None, lambda *row: heard.append(row),
+        on_word=lambda *row: heard.append(row),
+    )  # fmt: skip
+    peer = Peer(Member("b", "south", ""), None)
+    for _ in range(30):
+        peers.heard(peer, word_of("b", **bad), 8.9)
+    assert not heard and (peer.boot, peer.answered) == ("", -1e9)
+    told = [r for r in caplog.records if r.getMessage() == "words of nodes that can't be read"]
+    assert len(told) == 1
+    peers.heard(peer, [], 8.9)
+    old = word_of("b")
+    del old["cancelled"]  # an older build: heard, but its word of cancellations is unknown
+    peers.heard(peer, old, 8.9)
+    assert peer.answered == 8.9 and heard[0] == ("b", "x", None, 8.9)
+
+
+BAD_MAIL = [
+    None, 3, {}, {"alive": 3, "boot": "x", "reports": {}},
+    {"alive": [], "boot": "x", "reports": [1]},
+    {"alive": [], "boot": "x", "reports": {"n-1": 3, "n-2": [1], "n-3": []}},
+    {"alive": [], "boot": "x", "reports": {"n-1": ["", "", "", "", "one", "two", 3, None, {}]}},
+    {"answers": {"n-1": [1]}, "boot": "x"}, {"answers": 3, "boot": "x"},
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("value", BAD_MAIL, ids=str)
+def test_mail_that_cannot_be_read_ends_no_lead(value, caplog):
+    agents = follower(lambda mail: {})
+    owner = agents.owner
+    owner.book.leading = 3
+    for _ in range(5):
+        asyncio.run(agents.answer_mail("c", value))
+        agents.replied(value)
+        owner.work([owner.queue.get_nowait() for _ in range(owner.queue.qsize())])
+    assert owner.leading == 3
+    told = [r for r in caplog.records if r.getMessage() == "reports that can't be read"]
+    assert len(told) <= 1 and not [r for r in caplog.records if r.levelname == "ERROR"]
+
+
+def test_rows_of_the_store_that_cannot_be_read_hide_no_others():
+    agents = follower(lambda mail: {})
+    inbox, spec = agents.owner.inbox, job_spec("j-000007")
+    good = {"spec": msgspec.to_builtins(spec), "at": 1.0}
+    rows = [(sk.VIEW, {"epoch": "x"}, 5), (sk.VIEW, 3, 6), (sk.JOB + "j-000008", 3, 7),
+            (sk.REPLY + "b", {"boot": "x"}, 8), (sk.JOB + "j-000007", good, 9)]  # fmt: skip
+    agents.owner.around.effects = lambda kind, data: agents.replied(data)
+    agents.owner.work([cm.InboxRows(rows)])
+    assert list(inbox.accepted) == ["j-000007"] and inbox.view.epoch == 3
