--- a/coveflow/lab/cases.py
+++ b/coveflow/lab/cases.py
@@ -299,3 +299,22 @@
         "meetings", seed, name, nodes, troubles=tuple(troubles), run_s=r.uniform(4.0, 30.0),
         polls=True, shapes=True,
     )  # fmt: skip
+
+
+def rushes(seed: int) -> Case:
+    """All users retry at once, about ids whose commits are unsure too, while something fails."""
+    r = random.Random(f"rushes-{seed}")
+    nodes = r.choice([1, 2, 3, 5])
+    names = [f"host-{i}" for i in range(nodes)]
+    what = r.choice(["late writes", "slow", "outage", "refused", "end"])
+    who = (r.choice(["0.2", "1", "2.5", "6"]),) if what == "slow" else (_other(r, names),)
+    for_s = r.uniform(0.1, 1.0) if what == "end" else r.uniform(5.0, 15.0)
+    troubles = (
+        Trouble(-3.0, "rush", (), 25.0), Trouble(0.0, what, who, for_s),
+        *(Trouble(r.uniform(-3.0, 15.0), "cancel") for _ in range(3)),
+        Trouble(r.uniform(0.0, 12.0), "end", (_other(r, names),), r.uniform(0.1, 1.0)),
+    )  # fmt: skip
+    return Case(
+        "rushes", seed, what, nodes, troubles=troubles, run_s=r.uniform(4.0, 20.0), polls=True,
+        shapes=True,
+    )  # fmt: skip
--- a/coveflow/lab/worlds.py
+++ b/coveflow/lab/worlds.py
@@ -19,7 +19,7 @@
 from coveflow.core.model import Spec
 from coveflow.core.zones import Zones
 from coveflow.lab import site as sites
-from coveflow.lab.cases import LONG, Case, Trouble, ends, meetings, nights, zones
+from coveflow.lab.cases import LONG, Case, Trouble, ends, meetings, nights, rushes, zones
 from coveflow.lab.truth import INF
 from coveflow.lab.virtual import CLOUD, STATE, World
 from coveflow.settings import Tuning
@@ -88,6 +88,7 @@
     "zones": (zones, _no_zones),
     "nights": (nights, None),
     "meetings": (meetings, None),
+    "rushes": (rushes, None),
 }
 
 
@@ -255,6 +256,8 @@
         world.slow(float(trouble.who[0]), trouble.for_s)
     elif trouble.what == "late writes":
         world.late_writes_until = world.now + trouble.for_s
+    elif trouble.what == "rush":
+        world.rush(trouble.for_s)
     elif trouble.what == "hand":
         for name in who:
             world.hand_over(name)
