--- a/coveflow/lab/check.py
+++ b/coveflow/lab/check.py
@@ -201,9 +201,10 @@
         """`code` is an HTTP status or 0 for none; `state` what a 200 or 201 said."""
         job, code, at = row["job"], row["code"], row["at"]
         known = self._job(job)
-        if row["to"] == "poll":
-            if code != 404 or row.get("sent", math.inf) > known.accepted_at:
-                self._polled(known, job, code, at)
+        # Asked before its user was told that it is accepted, it may be answered after that.
+        early = code == 404 and row.get("sent", math.inf) <= known.accepted_at
+        if row["to"] == "poll" and not early:
+            self._polled(known, job, code, at)
         if code in (400, 422) and known.accepted:
             self._broken("forgotten", at, f"{job} was accepted and now gets {code}")
         if code not in (200, 201):
