--- a/coveflow/daemon/agents.py
+++ b/coveflow/daemon/agents.py
@@ -479,8 +479,10 @@
     def replied(self, value: Any) -> None:
         """The leader's answers; each is good only for the very report it answers."""
         try:
-            rows = [(name, *row) for name, row in value["answers"].items()]
-            answers = [(name, tenure, counter, answer) for name, tenure, counter, answer in rows]
+            answers = [
+                (name, tenure, counter, answer)
+                for name, (tenure, counter, answer) in value["answers"].items()
+            ]
             boot = value["boot"]
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             self._unreadable(error)
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -1,6 +1,7 @@
 """Reports that reach the leader only through the store, and when leases may be kept alive."""
 
 import asyncio
+import gc
 from types import SimpleNamespace
 
 import cbor2
@@ -282,6 +283,8 @@
 
 @pytest.mark.parametrize("value", BAD_MAIL, ids=str)
 def test_mail_that_cannot_be_read_ends_no_lead(value, caplog):
+    gc.collect()  # what tests before left is told by asyncio when it goes, and is not of this one
+    caplog.clear()
     agents = follower(lambda mail: {})
     owner = agents.owner
     owner.book.leading = 3
