Counts of done tasks don't fall; the further troubles are drawn in generated worlds

Cause: a leader told users of ends that were not committed, and a node whose leader had just changed told that nothing was done. Found by a new kind of world: mute machines, late commands, reports kept for the next leader, close looks, cancellations at the end, odd requests, lost answers and severed controllers, each with one to three other troubles.

Change: the leader counts committed ends; every node keeps the highest count that it heard (daemon.task_counts). `lab worlds further`; what a trouble does is a table in lab.troubles.

What is left are nodes up to a ping behind another, and one just started that has heard no leader yet.

test_checker's planted bug forgets the counts where they are kept now; it asserts what it did.

--- a/coveflow/cli/worlds.py
+++ b/coveflow/cli/worlds.py
@@ -17,7 +17,7 @@
 @click.option("--at-once", type=click.IntRange(1), default=4, show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 def worlds(kind: str, count: int, first: int, at_once: int, as_json: bool) -> None:
-    """Play generated worlds of a KIND: ends, zones, nights, meetings, rushes, combined.
+    """Play generated worlds of a KIND: ends, zones, nights, meetings, rushes, combined, further.
 
     Told are broken rules, times without starts, and work undone.
     Exit status 1 where a rule breaks or accepted work has no end; `--first N --count 1` plays
--- a/coveflow/core/model.py
+++ b/coveflow/core/model.py
@@ -181,6 +181,7 @@
     floor: int = 0  # no attempt number up to this may ever be used again
     done: set[int] = set()
     bits: dict[int, int] = {}  # the same as a bit map per chunk
+    done_committed: int = 0  # of `done`, how many are on record; users are told of no others
     attempts: int = 0  # on machines, until proven gone
     free: list[int] = []  # tasks that may be placed, last first
     placed: dict[int, Placement] = {}
--- a/coveflow/daemon/commands.py
+++ b/coveflow/daemon/commands.py
@@ -224,6 +224,7 @@
     writes: dict[str, Any]
     draft: Draft | None = None
     jobs: list[tuple[Job, set[int]]] = []
+    done: list[tuple[Job, int]] = []  # tasks done, as the rows of each of `jobs` have them
     finished: list[Job] = []
     machines: list[Machine] = []
     removed: list[Machine] = []
--- a/coveflow/daemon/commits.py
+++ b/coveflow/daemon/commits.py
@@ -107,6 +107,7 @@
             if not whole:
                 return False
             txn.jobs.append((job, chunks))
+            txn.done.append((job, len(job.done)))
             if held:
                 del book.held_due[name]
                 txn.held.append(job)
@@ -197,6 +198,8 @@
         self._measure(txn)
         for p in txn.placed:
             p.committed = True
+        for job, done in txn.done:
+            job.done_committed = max(job.done_committed, done)
         for m, end in txn.ends:
             m.clearing.discard(end.placement.key)
             self._settle_end(end)
--- a/coveflow/daemon/front.py
+++ b/coveflow/daemon/front.py
@@ -43,7 +43,7 @@
         self.clock, self.beat = clock, beat
         self.teams = {team.name: team for team in settings.params.teams}
         self.jobs = UserJobs(
-            owner, store, peers, settings.params.state.txn_ops, clock, wall,
+            owner, store, settings.params.state.txn_ops, clock, wall,
             lambda spec: self.refusal(spec),
         )  # fmt: skip
         # What another interface serves here: by the path's beginning.
--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -87,6 +87,7 @@
             self.viewed,
             lambda: self.owner.inbox.view.leader,
             lambda *word: self.owner.put(cm.PeerWord(*word)),
+            self.owner.hear_counts,
         )
         self.membership = Membership(
             settings,
--- a/coveflow/daemon/owner.py
+++ b/coveflow/daemon/owner.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import msgspec
@@ -48,6 +48,7 @@
 from coveflow.daemon.planning import Planning
 from coveflow.daemon.reports import Reports, machine_fields
 from coveflow.daemon.restore import restore
+from coveflow.daemon.task_counts import TaskCounts
 from coveflow.logs import Log
 from coveflow.net.meters import Meters
 from coveflow.settings import Settings, Tuning
@@ -78,6 +79,7 @@
         self.inbox.on_reply = lambda value: self.around.effects("reply", value)
         self.busy = BusyShare(clock())
         self.lead_after = -math.inf  # no try to lead before this
+        self.task_counts = TaskCounts()  # what users are told
         self._new_book()
 
     def _new_book(self) -> None:
@@ -90,7 +92,7 @@
         self.keeper = Keeper(around, inbox, self.book)
         self.direct = Direct(around, self.book)
         self.planning = Planning(around, inbox, self.book, self.keeper.rent)
-        # Done and running tasks, for users; of another interface's jobs also those placed.
+        # Done and running tasks, for peers; of another interface's jobs also those placed.
         self.counts: dict[str, tuple[int, ...]] = {}
 
     @property
@@ -346,9 +348,19 @@
         """What users are told of their jobs, by this node and, with its pings, by the others."""
         self.counts = {
             job.id: (
-                len(job.done),
+                job.done_committed,
                 sum(1 for p in job.placed.values() if p.state == "running"),
                 *((len(job.placed),) if job.rider is not None else ()),
             )
             for job in self.book.jobs.values()
         }
+        self._show(self.counts)
+
+    def hear_counts(self, node: str, counts: Mapping[str, Sequence[int]]) -> None:
+        """A peer's counts, which are those of the fleet if it leads."""
+        if not self.leading and node == self.inbox.view.leader:
+            self._show(counts)
+
+    def _show(self, counts: Mapping[str, Sequence[int]]) -> None:
+        self.task_counts.heard(counts)
+        self.task_counts.keep(self.inbox.accepted.keys() | counts.keys())
--- a/coveflow/daemon/restore.py
+++ b/coveflow/daemon/restore.py
@@ -89,6 +89,7 @@
     if job.done and job.spec.kind == "gang":
         for task in range(job.spec.tasks):
             job.mark_done(task)  # they complete together
+    job.done_committed = len(job.done)
     job.refill()
     book.fail_held(job)
     if job.over:
--- a/coveflow/daemon/user_jobs.py
+++ b/coveflow/daemon/user_jobs.py
@@ -17,7 +17,6 @@
 from coveflow.daemon.inbox import UNREADABLE
 from coveflow.daemon.submissions import Submissions
 from coveflow.logs import Log
-from coveflow.membership.peers import Peers
 from coveflow.net.http import Unavailable
 from coveflow.state import keys as sk
 from coveflow.state.store import Conflict, Store
@@ -67,14 +66,13 @@
         self,
         owner: o.Owner,
         store: Store,
-        peers: Peers,
         txn_ops: int,
         clock: Callable[[], float],
         wall: Callable[[], float],
         refusal: Callable[[Spec], Infeasible | None],
     ) -> None:
         """`refusal` tells why a job can never run, or nothing."""
-        self.owner, self.store, self.peers = owner, store, peers
+        self.owner, self.store = owner, store
         self.clock, self.wall, self.refusal = clock, wall, refusal
         self.submissions = Submissions(store, txn_ops, clock, owner.around.meters)
         self.comparisons = Comparisons(store, owner.inbox, txn_ops)
@@ -125,10 +123,11 @@
             return None  # another interface's jobs are none of this one's
         if not isinstance(found, cm.Accepted):
             return JobStatus(name, found["status"], found["done"])
-        done, running, _ = self.counts(name)
+        count = self.owner.task_counts.of(name)
         if found.cancelled is not None:
-            return JobStatus(name, "cancelled", done)
-        return JobStatus(name, "running" if running else "queued", done, running)
+            return JobStatus(name, "cancelled", count.done)
+        status = "running" if count.running else "queued"
+        return JobStatus(name, status, count.done, count.running)
 
     async def find(self, name: str) -> cm.Accepted | Record | None:
         """A job by the store's word: accepted, its final record, or None if never accepted."""
@@ -190,16 +189,6 @@
         at = cancelled if isinstance(cancelled, int | float) else self.wall()
         self.owner.confirm(name, at)
 
-    def counts(self, name: str) -> tuple[int, int, int]:
-        """Done, running and (of another interface's jobs) placed tasks, as last heard."""
-        if self.owner.leading:
-            counts = self.owner.counts.get(name, ())
-        else:
-            peer = self.peers.get(self.owner.inbox.view.leader)
-            counts = tuple(peer.counts.get(name, ())) if peer is not None else ()
-        done, running, placed = (*counts, 0, 0, 0)[:3]
-        return done, running, placed
-
     # --- cancellations -----------------------------------------------------------------
 
     async def request_cancel(self, name: str) -> JobStatus | None:
--- a/coveflow/lab/combined.py
+++ b/coveflow/lab/combined.py
@@ -17,7 +17,7 @@
 LATE_S = (0.0, 6.0)  # s until the second and third meeting begin
 
 
-def _cancels(r: random.Random, count: int, most_s: float) -> list[Trouble]:
+def cancels(r: random.Random, count: int, most_s: float) -> list[Trouble]:
     return [Trouble(r.uniform(0.0, most_s), "cancel") for _ in range(count)]
 
 
@@ -26,7 +26,7 @@
     what = r.choice(["hang", "away", "deaf"])
     return [
         Trouble(0.0, what, (r.choice(["one", "few"]),), r.uniform(5.0, 24.0)),
-        *_cancels(r, 4, 8.0),
+        *cancels(r, 4, 8.0),
         Trouble(r.uniform(0.2, 8.0), "end", ("leader",), r.uniform(*BACK_S)),
     ]
 
@@ -35,7 +35,7 @@
     away = LEASE_S * r.uniform(1.1, 1.6)
     return [
         *(Trouble(r.uniform(0.0, 0.5), "end", (name,), away) for name in names),
-        *_cancels(r, 2, 0.4),
+        *cancels(r, 2, 0.4),
     ]
 
 
@@ -51,13 +51,13 @@
 def _cancelled_as_work_changes_hands(r: random.Random, names: list[str]) -> list[Trouble]:
     what = r.choice(["hand", "end", "refused", "freeze"])
     for_s = r.uniform(*BACK_S) if what == "end" else r.uniform(1.5, 8.0)
-    return [Trouble(0.5, what, ("leader",), for_s), *_cancels(r, 5, 3.0)]
+    return [Trouble(0.5, what, ("leader",), for_s), *cancels(r, 5, 3.0)]
 
 
 def _zone_cut(r: random.Random, names: list[str]) -> list[Trouble]:
     return [
         Trouble(0.0, "cut", (r.choice(["far", "near"]),), LEASE_S * r.uniform(1.1, 2.5)),
-        *_cancels(r, 3, 20.0),
+        *cancels(r, 3, 20.0),
     ]
 
 
@@ -70,12 +70,12 @@
 
 
 def _close_looks(r: random.Random, names: list[str]) -> list[Trouble]:
-    return [Trouble(0.0, "rush", (), r.uniform(10.0, 25.0)), *_cancels(r, 4, 12.0)]
+    return [Trouble(0.0, "rush", (), r.uniform(10.0, 25.0)), *cancels(r, 4, 12.0)]
 
 
 def _at_the_end(r: random.Random, names: list[str]) -> list[Trouble]:
     """Cancellations and nothing else; with short tasks some meet the last one's end."""
-    return _cancels(r, 8, 15.0)
+    return cancels(r, 8, 15.0)
 
 
 SORTS: dict[str, Draw] = MEETINGS | {
@@ -97,7 +97,8 @@
     for sort in sorts:
         late = r.uniform(*LATE_S) if troubles else 0.0
         troubles += [
-            Trouble(t.at + late, t.what, t.who, _back(r, t)) for t in SORTS[sort](r, names)
+            Trouble(t.at + late, t.what, t.who, shorter_absence(r, t))
+            for t in SORTS[sort](r, names)
         ]
     return Case(
         "combined", seed, first, nodes, troubles=tuple(troubles), run_s=r.uniform(2.0, 30.0),
@@ -105,7 +106,7 @@
     )  # fmt: skip
 
 
-def _back(r: random.Random, trouble: Trouble) -> float:
+def shorter_absence(r: random.Random, trouble: Trouble) -> float:
     """What ends for a moment is mostly back within a second, whatever its sort draws."""
     if trouble.what == "end" and trouble.for_s < LEASE_S and r.random() < 0.7:
         return r.uniform(*BACK_S)
--- a/coveflow/lab/worlds.py
+++ b/coveflow/lab/worlds.py
@@ -18,13 +18,14 @@
 
 from coveflow.core.model import Spec
 from coveflow.core.zones import Zones
-from coveflow.lab import rooms
+from coveflow.lab import rooms, troubles
 from coveflow.lab import site as sites
-from coveflow.lab.cases import LONG, Case, Trouble, ends, meetings, nights, rushes, zones
+from coveflow.lab.cases import Case, ends, meetings, nights, rushes, zones
 from coveflow.lab.combined import combined
+from coveflow.lab.further import further
 from coveflow.lab.late_starts import CAUSES
 from coveflow.lab.truth import INF
-from coveflow.lab.virtual import CLOUD, STATE, World
+from coveflow.lab.virtual import World
 from coveflow.settings import Tuning
 
 WINDOW_S = 10.0  # s after the first trouble in which starts are looked at
@@ -101,6 +102,7 @@
     "meetings": (meetings, None),
     "rushes": (rushes, None),
     "combined": (combined, None),
+    "further": (further, None),
 }
 
 
@@ -168,7 +170,7 @@
                 world.checker.calm_at = calm_at
             led: list[str] = []
             for trouble in case.troubles:
-                world.at(case.begin_s + trouble.at, lambda t=trouble: _cause(world, t, led))
+                world.at(case.begin_s + trouble.at, lambda t=trouble: troubles.cause(world, t, led))
             try:
                 world.run(max(case.begin_s + WINDOW_S, case.jobs_until_s + 1.0))
                 while world.now < case.jobs_until_s + MOST_S and unfinished(world):
@@ -254,81 +256,6 @@
     return found
 
 
-def _cause(world: World, trouble: Trouble, led: list[str]) -> None:
-    leader = world.leader() or next(iter(world.controllers))
-    if "led" in trouble.who and not led:
-        led.append(leader)
-    known = {"leader": leader, "led": led[0] if led else leader}
-    who = [known.get(name, name) for name in trouble.who]
-    zone_of = world.controllers
-    if trouble.what == "cut":
-        far = next(zone for zone in reversed(world.site.zones) if zone != zone_of[leader])
-        zone = far if trouble.who == ("far",) else zone_of[leader]
-        world.cut(trouble.for_s, lambda a, b: (a.zone == zone) != (b.zone == zone))
-    elif trouble.what == "apart":
-        world.cut(trouble.for_s, lambda a, b: bool(a.zone and b.zone) and a.zone != b.zone)
-    elif trouble.what == "cloud":
-        world.cut(trouble.for_s, lambda a, b: b.name == CLOUD, "refuse")
-    elif trouble.what == "end":
-        for name in who:
-            if world.places[name].alive:
-                world.crash(name, trouble.for_s)
-    elif trouble.what == "outage":
-        world.state.down_until = world.now + trouble.for_s
-    elif trouble.what == "refuse":
-        world.cut(trouble.for_s, lambda a, b: a.node is not None and b.node is not None, "refuse")
-    elif trouble.what == "late":
-        world.cut(trouble.for_s, lambda a, b: a.name in who and b.name == STATE)
-    elif trouble.what == "freeze":
-        for name in who:
-            world.freeze(name, trouble.for_s)
-    elif trouble.what == "refused":
-        world.state.refused.update(dict.fromkeys(who, world.now + trouble.for_s))
-    elif trouble.what == "slow":
-        world.slow(float(trouble.who[0]), trouble.for_s)
-    elif trouble.what == "late writes":
-        world.late_writes_until = world.now + trouble.for_s
-    elif trouble.what == "lost answers":
-        world.lost_answers_until = world.now + trouble.for_s
-    elif trouble.what == "rush":
-        world.rush(trouble.for_s)
-    elif trouble.what == "hand":
-        for name in who:
-            world.hand_over(name)
-    elif trouble.what == "sever":
-        world.cut(
-            trouble.for_s, lambda a, b: a.name in who and (b.name == STATE or b.node is not None)
-        )
-    else:
-        _machines(world, trouble)
-
-
-def _machines(world: World, trouble: Trouble) -> None:
-    """Troubles of machines, and of what users said."""
-    fleet, live = world.fleet, sorted(n for n, w in world.fleet.workers.items() if w.alive)
-    if trouble.what == "copies":
-        fleet.copies = (0.3, LONG * world.site.limits.lease_s, world.now + trouble.for_s)
-    elif trouble.what in ("deaf", "away", "hang"):
-        zone = world.site.zones[-1]
-        count = {"one": 1, "few": 3}.get(trouble.who[0], len(live))
-        some = [n for n in live if count < len(live) or fleet.workers[n].zone == zone]
-        busy = sorted(some, key=lambda n: (-len(fleet.workers[n].tasks), n))[:count]
-        until = world.now + trouble.for_s
-        if trouble.what == "hang":
-            for name in busy:
-                fleet.hang(name, trouble.for_s)
-        else:
-            table = fleet.deaf if trouble.what == "deaf" else fleet.away
-            table |= dict.fromkeys(busy, (world.now, until))
-    elif trouble.what == "reborn":
-        name = world.random.choice(live)
-        fleet.restart(name, 1 if trouble.who[0] == "first" else fleet.workers[name].tenure)
-    elif trouble.what == "cancel":
-        open_jobs = sorted(j for j, (status, _) in world.answers.items() if status in (200, 201))
-        for job in world.random.sample(open_jobs, min(3, len(open_jobs))):
-            world.cancel(job)
-
-
 def gap(world: World, start: float, end: float) -> float:
     """Longest time in which no task began to run anywhere."""
     times = [at for at, kind, _ in world.told if kind == "running" and start <= at < end]
--- a/coveflow/membership/peers.py
+++ b/coveflow/membership/peers.py
@@ -38,7 +38,6 @@
     store_age: float = 1e9
     refuses: bool = False  # the last thing sent there was refused, at once
     hears: dict[str, tuple[float, int, int]] = {}  # age, tenure and counter of reports it took
-    counts: dict[str, list[int]] = {}
 
 
 class Info(msgspec.Struct):
@@ -95,10 +94,15 @@
         on_view: Callable[[dict[str, Any], int], None] = lambda view, rev: None,
         leader: Callable[[], str] = lambda: "",
         on_word: Callable[[str, str, dict[str, float] | None, float], None] = lambda *word: None,
+        on_counts: Callable[[str, dict[str, list[int]]], None] = lambda node, counts: None,
     ) -> None:
-        """`on_word` hears of cancellations: node, its process, which ones, when it was asked."""
+        """`on_word` hears of cancellations: node, its process, which ones, when it was asked.
+
+        `on_counts` hears of the tasks done and running of each job, as the node counts them.
+        """
         self.settings, self.clock, self.info, self.relay = settings, clock, info, relay
         self.on_view, self.leader, self.on_word = on_view, leader, on_word
+        self.on_counts = on_counts
         self.boot = uuid.uuid4().hex
         self.suspicion = Suspicion(
             settings.name, (member.name for member in settings.members), c.PING_S, clock()
@@ -225,7 +229,8 @@
         # A leader that only the store refuses never learnt that it was deposed: workers stayed
         # with it, and the new leader gave the whole fleet back as silent.
         self.on_view(info.view, info.view_rev)
-        peer.hears, peer.counts = info.hears, info.counts
+        peer.hears = info.hears
+        self.on_counts(name, info.counts)
         peer.answered = max(peer.answered, sent)
         self.heard_at = now = self.clock()
         self.suspicion.alive(name, now)
--- a/coveflow/tes/service.py
+++ b/coveflow/tes/service.py
@@ -221,8 +221,8 @@
 
     def _state(self, name: str, found: cm.Accepted | dict[str, Any]) -> State:
         if isinstance(found, cm.Accepted):
-            _, running, placed = self.jobs.counts(name)
-            return mapping.live_state(found.cancelled is not None, running, placed)
+            count = self.jobs.owner.task_counts.of(name)
+            return mapping.live_state(found.cancelled is not None, count.running, count.placed)
         return mapping.final_state(found)
 
     async def get(self, client: Client, name: str, view: View) -> Any:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -11,6 +11,7 @@
 from coveflow.daemon.inbox import Inbox
 from coveflow.daemon.keeper import Keeper
 from coveflow.daemon.owner import Owner
+from coveflow.daemon.task_counts import TaskCounts
 from coveflow.lab import rooms, worlds
 from coveflow.lab import site as sites
 from coveflow.lab.check import Checker
@@ -374,7 +375,7 @@
 
     def uncounted(self, command):
         lead(self, command)
-        self.counts = {}
+        self.task_counts = TaskCounts()
 
     monkeypatch.setattr(Owner, "_lead", uncounted)
     assert worlds.play(worlds.rushes(31)).done_fell > 0
