--- a/coveflow/cli/lab.py
+++ b/coveflow/cli/lab.py
@@ -26,6 +26,7 @@
 from coveflow.cli.errors import UserError
 from coveflow.cli.labs import running
 from coveflow.cli.modelcheck import model_check
+from coveflow.cli.scale import scale
 from coveflow.cli.timeline import suspect, timeline
 from coveflow.cli.worlds import worlds
 from coveflow.lab import faults as fl
@@ -78,6 +79,7 @@
 
 lab.add_command(timeline)
 lab.add_command(suspect)
+lab.add_command(scale)
 lab.add_command(model_check)
 lab.add_command(worlds)
 
--- /dev/null
+++ b/coveflow/cli/scale.py
@@ -0,0 +1,185 @@
+"""`coveflow lab scale`: slopes of what each role spends, the capacity page, scale runs."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from coveflow.cli.errors import UserError
+
+PROCESS_MB = 600  # MB that the largest load of the sweeps may take
+MEMORY_PART = 0.5  # of the machine's memory that may be used
+
+
+def _memory_mb() -> float:
+    with open("/proc/meminfo") as file:
+        return int(file.readline().split()[1]) / 1024
+
+
+@click.group()
+def scale() -> None:
+    """What each role spends as the fleet grows: measured slopes, their page, real processes."""
+
+
+@scale.command()
+@click.argument("roles", nargs=-1)
+@click.option("--variable", "variables", multiple=True, help="Sweep this one only; may repeat.")
+@click.option("--at-once", type=click.IntRange(1), default=4, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print readings and slopes as JSON.")
+def slopes(roles: tuple[str, ...], variables: tuple[str, ...], at_once: int, as_json: bool) -> None:
+    """Measure what ROLES (default: all) spend under loads on the daemon's own code.
+
+    Virtual time; one variable of the load at a time, at four points or more, fitted by a line.
+    """
+    from coveflow.lab import slopes as s
+    from coveflow.lab.scale import Reading, as_row
+
+    for role in roles:
+        if role not in s.ROLES:
+            raise click.BadParameter(f"{role}: no such role; one of: {', '.join(s.ROLES)}")
+    for name in variables:
+        if name not in s.SWEEPS:
+            raise click.BadParameter(f"{name}: no such one; one of: {', '.join(s.SWEEPS)}")
+    most = int(_memory_mb() * MEMORY_PART / PROCESS_MB)
+    if at_once > most:
+        raise click.BadParameter(
+            f"{at_once} at once may take {at_once * PROCESS_MB} MB, over half of this machine's"
+            f" memory; {most} fit"
+        )
+    console = Console(stderr=True)
+
+    def done(reading: Reading) -> None:
+        console.print(
+            f"{reading.machines} machines, {reading.running} running, {reading.starts:g} starts/s:"
+            f" leader {reading.cores['leader']:.3f} cores"
+        )
+
+    sweeps = s.sweep(list(variables or s.SWEEPS), at_once, done)
+    found = [it for role in roles or s.ROLES for it in s.all_fitted(role, sweeps)]
+    if as_json:
+        readings = {name: [as_row(it) for it in rows] for name, rows in sweeps.items()}
+        print(json.dumps({"readings": readings, "slopes": [asdict(it) for it in found]}))
+        return
+    table = Table("role", "figure", "variable", "slope", "at zero", "largest residual", box=None)
+    for it in found:
+        note = "" if it.straight else " (no line)"
+        table.add_row(
+            it.role, it.figure, it.variable, f"{it.slope:.4g}", f"{it.at_zero:.4g}",
+            f"{it.residual:.0%}{note}",
+        )  # fmt: skip
+    Console().print(table)
+
+
+@scale.command()
+@click.argument("readings", type=click.Path(exists=True, dir_okay=False))
+@click.argument("page", type=click.Path(exists=True, dir_okay=False))
+def page(readings: str, page: str) -> None:
+    """Write the tables of a capacity PAGE anew from the READINGS of `slopes --json`."""
+    from coveflow.lab import capacity as pages
+
+    text = Path(page).read_text(encoding="utf-8")
+    try:
+        made = pages.written(text, pages.tables(_sweeps(readings)))
+    except KeyError as error:
+        raise UserError(f"{page}: no place for the table {error}") from error
+    Path(page).write_text(made, encoding="utf-8")
+
+
+def _faulted(path: str | None) -> list[Any]:
+    from coveflow.lab import faults
+
+    return faults.load(Path(path)) if path else []
+
+
+@scale.command("run")
+@click.option("--machines", type=click.IntRange(1), default=1000, show_default=True)
+@click.option("--starts", type=float, default=100.0, show_default=True, help="Tasks a second.")
+@click.option("--running", type=click.IntRange(0), default=2000, show_default=True)
+@click.option("--teams", type=click.IntRange(1), default=1, show_default=True)
+@click.option("--zones", type=click.IntRange(1), default=2, show_default=True)
+@click.option("--for", "for_s", type=click.FloatRange(15, 900), default=60.0, show_default=True)
+@click.option("--faults", type=click.Path(exists=True, dir_okay=False), help="A lab's faults.")
+@click.option("--folder", type=click.Path(file_okay=False), default="scale-run", show_default=True)
+@click.option(
+    "--slopes",
+    "readings",
+    type=click.Path(exists=True, dir_okay=False),
+    help="Readings of `slopes --json`, for what they predict.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def scale_run(
+    machines: int,
+    starts: float,
+    running: int,
+    teams: int,
+    zones: int,
+    for_s: float,
+    faults: str | None,
+    folder: str,
+    readings: str | None,
+    as_json: bool,
+) -> None:
+    """Real controllers beside hollow workers in one process, on loopback, for so long.
+
+    Exit status 1 where a rule breaks or accepted work has no end.
+    """
+    from coveflow.cli.lab import driven
+    from coveflow.lab import scale_run as runs
+    from coveflow.lab.scale import Load, Unfit
+
+    load = Load(machines, running, starts, teams=teams, zones=zones)
+    console = Console(stderr=True)
+    try:
+        work = runs.run(load, for_s, Path(folder), _faulted(faults), console.print)
+        report = driven(work)
+    except Unfit as error:
+        raise UserError(str(error)) from error
+    if as_json:
+        print(json.dumps(asdict(report)))
+    else:
+        _show(report, _predicted(readings, load))
+    raise SystemExit(1 if report.broken or report.unfinished else 0)
+
+
+def _predicted(readings: str | None, load: Any) -> dict[str, float]:
+    """Cores by role that the slopes predict under the load; none without readings."""
+    from coveflow.lab import capacity
+
+    if readings is None:
+        return {}
+    found = capacity.predict(capacity.slopes_of(_sweeps(readings)), load)
+    return {it.role: it.value for it in found if it.figure == "process"}
+
+
+def _show(report: Any, predicted: dict[str, float]) -> None:
+    print(
+        f"{report.started_per_s:.0f} tasks started a second of {report.asked_per_s:.0f} asked,"
+        f" over {report.measured_s:.0f} s; leaders: {', '.join(report.leaders)}"
+    )
+    print(f"from acceptance to start, s: {report.to_running}; submissions, ms: {report.submit_ms}")
+    print(
+        f"rules broken {len(report.broken)}, short jobs without an end {report.unfinished},"
+        f" refused {report.refused}"
+    )
+    table = Table("process", "cores", "busiest", "MB", "cores by the slopes", box=None)
+    for name, it in report.usage.items():
+        role = "leader" if name in report.leaders else "follower"
+        value = predicted.get(role) if name.startswith("host") else None
+        table.add_row(
+            name, f"{it.cores:.3f}", f"{it.peak_cores:.3f}", f"{it.most_mb:.0f}",
+            "" if value is None else f"{value:.3f}",
+        )  # fmt: skip
+    Console().print(table)
+
+
+def _sweeps(readings: str) -> dict[str, list[Any]]:
+    from coveflow.lab.scale import of_row
+
+    rows = json.loads(Path(readings).read_text(encoding="utf-8"))["readings"]
+    return {name: [of_row(row) for row in found] for name, found in rows.items()}
--- a/coveflow/lab/virtual.py
+++ b/coveflow/lab/virtual.py
@@ -15,6 +15,7 @@
 import os
 import random
 import selectors
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
@@ -64,6 +65,7 @@
     def __init__(self, world: World, drift: float = 0.0) -> None:
         super().__init__(_NoFiles())
         self.world, self.rate = world, 1.0 + drift
+        self.spent_s = 0.0  # s of real time in its turns
         self.set_exception_handler(lambda loop, context: None)
 
     def time(self) -> float:
@@ -80,8 +82,10 @@
         return due[0]._when / self.rate if due else INF
 
     def turn(self) -> None:
+        began = time.perf_counter()
         self.call_soon(self.stop)
         self.run_forever()
+        self.spent_s += time.perf_counter() - began
 
 
 @dataclass(eq=False)
