--- a/coveflow/lab/slopes.py
+++ b/coveflow/lab/slopes.py
@@ -13,7 +13,7 @@
 
 import numpy as np
 
-from coveflow.lab.scale import Load, Reading, measure
+from coveflow.lab.scale import NODES, Load, Reading, measure
 
 BASE = Load()
 SWEEPS: dict[str, tuple[float, ...]] = {
@@ -50,7 +50,7 @@
     asked = [it for name, it in reading.traffic.items() if name.endswith(f"to {role}")]
     asks = [it for name, it in reading.traffic.items() if name.startswith(f"{role} to")]
     # Traffic is of all followers together.
-    nodes = 1 if role == "leader" else 4
+    nodes = 1 if role == "leader" else NODES - 1
     found = {
         "cores": reading.cores[role],
         "messages": sum(it.messages for it in asked + asks) / nodes,
