--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -9,10 +9,12 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import sys
@@ -48,6 +50,11 @@
     return found
 
 
+def end_with_parent() -> None:
+    """In a new controller process: end it when this process ends, however that happens."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 class Record:
     """The file record.txt: what was sent, answered and run, by seconds since the start."""
 
@@ -768,6 +775,7 @@
             stderr=log,
             stdin=asyncio.subprocess.DEVNULL,
             env=os.environ | {"LOG_LEVEL": "info"},
+            preexec_fn=end_with_parent,
         )
         log.close()
         self.record("controller", name, "started")
@@ -873,6 +881,7 @@
                 for line in path.read_text(errors="replace").splitlines()[:4000]:
                     self.record.file.write(f"log {name} {line}\n".replace(str(ROOT), "."))
         self.record.file.flush()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def job(name, workload, team, pieces=1, cpus=1.0, **more) -> dict:
