--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -37,17 +37,23 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports that nothing listens on, below those that the system gives to other sockets."""
-    found: list[int] = []
+def free_ports(count: int) -> tuple[list[int], list[socket.socket]]:
+    """Ports below those that the system gives to other sockets, and sockets that hold them.
+
+    A held port is taken for other scripts; a controller, which reuses addresses, can listen on it.
+    """
+    held: list[socket.socket] = []
     choice = random.SystemRandom()
-    while len(found) < count:
-        port = choice.randrange(15_000, 32_000)
-        with socket.socket() as s, contextlib.suppress(OSError):
-            s.bind((HOST, port))
-            if port not in found:
-                found.append(port)
-    return found
+    while len(held) < count:
+        s = socket.socket()
+        try:
+            s.bind((HOST, choice.randrange(15_000, 32_000)))
+        except OSError:
+            s.close()
+            continue
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.append(s)
+    return [s.getsockname()[1] for s in held], held
 
 
 def end_with_parent() -> None:
@@ -721,7 +727,7 @@
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         cloud_port, self.cloud_runner = await listen(self.serve_cloud)
         self.cloud_address = f"{HOST}:{cloud_port}"
-        ports = free_ports(2 * len(self.names))
+        ports, self.held = free_ports(2 * len(self.names))
         self.clusters = {}
         for i, name in enumerate(self.names):
             self.fronts[name] = f"{HOST}:{ports[2 * i]}"
@@ -881,6 +887,8 @@
                 for line in path.read_text(errors="replace").splitlines()[:4000]:
                     self.record.file.write(f"log {name} {line}\n".replace(str(ROOT), "."))
         self.record.file.flush()
+        for held in self.held:
+            held.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
