--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -32,6 +32,7 @@
 from aiohttp import web  # noqa: E402
 
 HOST = "127.0.0.1"
+WORK = "/work"  # the users' path
 INF = float("inf")
 now = time.monotonic
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -845,14 +846,14 @@
         self.specs[spec["name_id"]] = spec
         ends = now() + 60
         while True:
-            status, body = await self.ask("POST", "/work", spec, node, 5.0)
+            status, body = await self.ask("POST", WORK, spec, node, 5.0)
             self.record("user", "submit", spec["name_id"], "->", status, body)
             if status in (200, 201, 400, 422) or now() > ends:
                 return status
             await asyncio.sleep(1.0)
 
     async def poll(self, job: str, node=None, quiet=False):
-        status, body = await self.ask("GET", f"/work/{job}", None, node)
+        status, body = await self.ask("GET", f"{WORK}/{job}", None, node)
         if not quiet:
             self.record("user", "poll", job, "->", status, body)
         return status, body
@@ -860,7 +861,7 @@
     async def cancel(self, job: str, node=None):
         ends = now() + 60
         while now() < ends:
-            status, body = await self.ask("POST", f"/work/{job}/abort", {}, node, 5.0)
+            status, body = await self.ask("POST", f"{WORK}/{job}/abort", {}, node, 5.0)
             self.record("user", "cancel", job, "->", status, body)
             if status == 200:
                 if body["status"] == "cancelled":
