zone_limits: a job with same_place and scatter is limited by both

Cause: zone_limits answered for scatter first and ignored same_place; reservations, preemptions and shortages go by it. Starts were kept to one zone by another check. Change: both constraints limit the zones; a job with same_place is planned zone by zone.

--- a/coveflow/core/placement.py
+++ b/coveflow/core/placement.py
@@ -330,7 +330,7 @@
         return plan_starts(pools, size, left, predicted_s, name, buckets, caps)
 
     limits = zone_limits(spec, zones, {pool.zone for pool in pools}, left)
-    if spec.spread:
+    if not spec.one_zone:
         return plan(limits)
     plans = [plan({zone: limit}) for zone, limit in sorted(limits.items())]
     return max(
--- a/coveflow/core/planner_state.py
+++ b/coveflow/core/planner_state.py
@@ -162,20 +162,20 @@
 
 
 def zone_limits(
-    spec: Spec, zones: Mapping[str, int], view: Iterable[str], most: int
+    spec: Spec, tasks_by_zone: Mapping[str, int], zones: Iterable[str], most: int
 ) -> dict[str, int]:
-    """Return how many more tasks of the job each zone may take, at most `most` each.
+    """Return how many more tasks of the job each of `zones` may take, at most `most` each.
 
-    A `one_zone` job that has no attempts yet may go to any zone, but to one only.
+    `tasks_by_zone` counts the job's other tasks. A `one_zone` job that has none yet may go to any
+    zone, but to one only.
     """
-    if spec.spread:
-        return {
-            zone: min(most, max(0, max_tasks_per_zone(spec) - zones.get(zone, 0))) for zone in view
-        }
-    bound = {zone for zone, count in zones.items() if count}
-    if not spec.one_zone or not bound:
-        return dict.fromkeys(view, most)
-    return dict.fromkeys(bound if len(bound) == 1 else (), most)
+    occupied = {zone for zone, count in tasks_by_zone.items() if count}
+    if spec.one_zone and occupied:
+        zones = occupied if len(occupied) == 1 else ()
+    if not spec.spread:
+        return dict.fromkeys(zones, most)
+    most_in_zone = max_tasks_per_zone(spec)
+    return {zone: min(most, max(0, most_in_zone - tasks_by_zone.get(zone, 0))) for zone in zones}
 
 
 def fits_type_without_accelerators(spec: Spec, flavors: list[Flavor]) -> bool:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -502,6 +502,17 @@
     assert started(run(found, predictions, previous_reservations=plan.reservations)) == {"j-2": 16}
 
 
+@pytest.mark.parametrize("deadline_s", [None, 900.0])
+def test_a_spread_job_bound_to_a_full_zone_reserves_nothing_in_other_zones(deadline_s):
+    """With both constraints only the share of each zone counted, so it reserved in all zones."""
+    found, _ = bound_state(24, one_zone=True, spread=True, deadline_s=deadline_s)
+    plan = run(found, {"j-1": 500.0, "j-2": 30.0})
+    assert started(plan) == {"j-2": 16}
+    assert [(shortage.spec.id, shortage.usable_zones) for shortage in plan.shortages] == [
+        ("j-1", {"south"})
+    ]
+
+
 def test_a_job_bound_to_a_zone_reserves_capacity_that_becomes_free_there():
     found, _ = bound_state(12, one_zone=True, deadline_s=900.0)
     plan = run(found, {"j-1": 100.0, "j-2": 30.0})
