A planning pass counts its own starts by zone, in one place for all steps

Cause: where a class has a floor, a pass visits its jobs for the floor and then in their ordinary turn. Each visit counted the job's tasks by zone from the placements before the pass, so that with none left each chose its own zone. Reservations, shortages and preemption counted only the starts of the second visit. Change: core/pass_decisions.py holds what the pass has decided and what the limits still allow; choosing machines, reserving, shortages and preemption take their limits from it, starts are recorded there. zone_limits is the one rule for starts as well. A bound job takes the zone that fits most of its waiting tasks also within the floor. plan() is split into turns.

--- a/coveflow/core/placement.py
+++ b/coveflow/core/placement.py
@@ -6,21 +6,11 @@
 import math
 from collections.abc import Iterable, Iterator, Mapping
 
-from coveflow.constants import (
-    EXPECTED_WORK_S,
-    FIRST_START_SHARE,
-    RESERVED_CAPACITY_WAIT_S,
-    TIMELINE_STEP_S,
-)
+from coveflow.constants import EXPECTED_WORK_S, RESERVED_CAPACITY_WAIT_S, TIMELINE_STEP_S
 from coveflow.core.capacity_index import PoolKey, slowness
 from coveflow.core.model import Job, Spec, max_tasks_per_zone
-from coveflow.core.planner_state import (
-    CapacityView,
-    PlannerState,
-    pool_key,
-    tasks_by_zone,
-    zone_limits,
-)
+from coveflow.core.pass_decisions import PassDecisions, first_share
+from coveflow.core.planner_state import CapacityView, PlannerState, pool_key
 from coveflow.core.timeline import (
     EPS,
     MachineCapacity,
@@ -44,6 +34,7 @@
     want: int,
     view: CapacityView,
     state: PlannerState,
+    decisions: PassDecisions,
     predicted_s: float,
     full: bool,
     first: bool,
@@ -55,12 +46,12 @@
     RESERVED_CAPACITY_WAIT_S and of which nothing runs may start a part of its tasks on capacity
     that is kept for others, who may preempt it there.
     """
-    chosen = _choose_machines(job, want, view, state, predicted_s, full, first, False)
+    chosen = _choose_machines(job, want, view, state, decisions, predicted_s, full, first, False)
     if chosen or job.placed or state.now - state.arrived_at[job.id] < RESERVED_CAPACITY_WAIT_S:
         return chosen
     if job.spec.kind != "gang":
-        want = min(want, math.ceil(job.spec.tasks * FIRST_START_SHARE))
-    return _choose_machines(job, want, view, state, predicted_s, full, first, True)
+        want = min(want, first_share(job.spec))
+    return _choose_machines(job, want, view, state, decisions, predicted_s, full, first, True)
 
 
 def _choose_machines(
@@ -68,6 +59,7 @@
     want: int,
     view: CapacityView,
     state: PlannerState,
+    decisions: PassDecisions,
     predicted_s: float,
     full: bool,
     first: bool,
@@ -120,20 +112,25 @@
         if capacity.machine.allows(spec)
         and state.now + predicted_s * capacity.machine.slowdown < (capacity.machine.ends_at or 0.0)
     ]
-    zones = tasks_by_zone(job, state)
+    limits = None
+    if spec.one_zone or spec.spread:
+        zones = {key[1] for key in eligible} | {capacity.machine.zone for capacity in leaving}
+        # By all tasks that may start, not only by `want`: otherwise the floor of its class, a task
+        # or two, would bind a large job to a zone in which the others do not fit.
+        limits = decisions.zone_limits(job, zones, decisions.allowed(job))
     if needs_all_options:
         capacities = [capacity for key in eligible for capacity in view.pools[key].capacities]
         options = _sorted_options(job, size, [*capacities, *leaving], view.tight, predicted_s)
         view.steps += len(options)
         if spec.kind == "gang":
-            chosen = _choose_for_gang(options, want, spec, spare)
+            chosen = _choose_for_gang(options, want, spec, spare, limits)
         else:
-            if spec.one_zone:
-                options = _options_in_one_zone(options, zones, want, spec)
-            chosen = _take_options(options, want, spec, spare, zones)
+            if spec.one_zone and limits is not None:
+                options = _options_in_one_zone(options, limits)
+            chosen = _take_options(options, want, spare, limits)
     else:
         chosen = _take_options(
-            _lazy_options(job, size, view, eligible, leaving, predicted_s), want, spec, spare, zones
+            _lazy_options(job, size, view, eligible, leaving, predicted_s), want, spare, limits
         )
     for capacity, count in chosen:
         view.allocate(capacity, spec, count)
@@ -171,12 +168,17 @@
 
 
 def _take_options(
-    options: Iterable[Option], want: int, spec: Spec, spare: dict[PoolKey, int],
-    zones: dict[str, int],
-) -> list[tuple[MachineCapacity, int]]:  # fmt: skip
-    """Take the first options until `want` tasks fit, within reservations and zone limits."""
-    spare, zones = dict(spare), dict(zones)
-    cap = max_tasks_per_zone(spec)
+    options: Iterable[Option],
+    want: int,
+    spare: Mapping[PoolKey, int],
+    limits: Mapping[str, int] | None,
+) -> list[tuple[MachineCapacity, int]]:
+    """Take the first options until `want` tasks fit, within reservations and zone limits.
+
+    `limits` has how many tasks each zone may take; None if zones do not matter.
+    """
+    spare = dict(spare)
+    remaining = None if limits is None else dict(limits)
     chosen = []
     for _, _, count, capacity in options:
         if want <= 0:
@@ -185,21 +187,25 @@
         key = pool_key(capacity.machine)
         if key in spare and capacity.machine.ends_at is None:
             count = min(count, spare[key])
-        if spec.spread:
-            count = min(count, cap - zones.get(capacity.machine.zone, 0))
+        if remaining is not None:
+            count = min(count, remaining.get(capacity.machine.zone, 0))
         if count <= 0:
             continue
         if key in spare:
             spare[key] -= count
-        if spec.spread:
-            zones[capacity.machine.zone] = zones.get(capacity.machine.zone, 0) + count
+        if remaining is not None:
+            remaining[capacity.machine.zone] -= count
         want -= count
         chosen.append((capacity, count))
     return chosen
 
 
 def _choose_for_gang(
-    options: list[Option], want: int, spec: Spec, spare: dict[PoolKey, int]
+    options: list[Option],
+    want: int,
+    spec: Spec,
+    spare: dict[PoolKey, int],
+    limits: Mapping[str, int] | None,
 ) -> list[tuple[MachineCapacity, int]]:
     """Choose machines for a whole gang as a set, since a gang runs as fast as its slowest task."""
     groups: dict[str, list[Option]] = {}
@@ -207,7 +213,7 @@
         groups.setdefault(option[3].machine.zone if spec.one_zone else "", []).append(option)
     best: tuple[tuple, list[tuple[MachineCapacity, int]]] | None = None
     for zone, group in sorted(groups.items()):
-        chosen = _take_options(group, want, spec, spare, {})
+        chosen = _take_options(group, want, spare, limits)
         if sum(count for _, count in chosen) < want:
             continue
         cold = [spec.image not in capacity.machine.images for capacity, _ in chosen]
@@ -259,18 +265,15 @@
     return (slow, fetch, not m.placements, not m.spot, capacity.cpus)
 
 
-def _options_in_one_zone(options: list, zones: dict[str, int], want: int, spec: Spec) -> list:
-    """Return the options in the zone the job is bound to, or in the one that fits most tasks."""
-    if zones:
-        return [o for o in options if o[3].machine.zone in zones] if len(zones) == 1 else []
-    totals: dict[str, int] = {}
+def _options_in_one_zone(options: list[Option], limits: Mapping[str, int]) -> list[Option]:
+    """Return the options in the zone that may take and fits the most tasks."""
+    fitting: dict[str, int] = {}
     for option in options:
         zone = option[3].machine.zone
-        totals[zone] = totals.get(zone, 0) + option[2]
-    if not totals:
-        return []
-    best = max(totals, key=lambda zone: (min(totals[zone], want), zone))
-    return [o for o in options if o[3].machine.zone == best]
+        fitting[zone] = fitting.get(zone, 0) + option[2]
+    startable = {zone: min(count, limits.get(zone, 0)) for zone, count in fitting.items()}
+    best = max(startable, key=lambda zone: (startable[zone], zone), default="")
+    return [option for option in options if option[3].machine.zone == best]
 
 
 def reserve_starts(
@@ -278,15 +281,14 @@
     left: int,
     view: CapacityView,
     state: PlannerState,
+    decisions: PassDecisions,
     predicted_s: float,
     due: float,
-    zones: Mapping[str, int],
 ) -> tuple[float, int]:
     """Plan the earliest starts of the remaining tasks and reserve capacity for them.
 
-    `zones` counts the job's tasks that are in each zone or start there in this pass, see
-    `planner_state.tasks_by_zone`. Returns the last planned start, and how many tasks are planned
-    to start after `due` or not at all.
+    Returns the last planned start, and how many tasks are planned to start after `due` or not at
+    all.
     """
     spec = job.spec
     pools = [p for p in view.pools.values() if p.capacities[0].machine.allows(spec)]
@@ -296,8 +298,9 @@
     if spec.kind == "gang":
         found = _reserve_gang(spec, view.size(spec), pools, predicted_s, job.id, buckets)
     elif spec.one_zone or spec.spread:
+        limits = decisions.zone_limits(job, {pool.zone for pool in pools}, left)
         found = _reserve_in_zones(
-            spec, view.size(spec), pools, left, predicted_s, job.id, buckets, zones
+            spec, view.size(spec), pools, left, predicted_s, job.id, buckets, limits
         )
     else:
         found = plan_starts(pools, view.size(spec), left, predicted_s, job.id, buckets)
@@ -318,9 +321,9 @@
     predicted_s: float,
     name: str,
     buckets: int,
-    zones: Mapping[str, int],
+    limits: Mapping[str, int],
 ) -> list[tuple[Pool, Reservation]]:
-    """Plan starts only in the zones that may take more tasks, given those already in `zones`.
+    """Plan starts only in the zones that may take more tasks, up to the limit of each.
 
     Without this limit, a job bound to a full zone reserved all capacity of the other zones, where
     it could never start. Other jobs then waited beside idle machines while its tasks ran.
@@ -329,7 +332,6 @@
     def plan(caps: dict[str, int]) -> list[tuple[Pool, Reservation]]:
         return plan_starts(pools, size, left, predicted_s, name, buckets, caps)
 
-    limits = zone_limits(spec, zones, {pool.zone for pool in pools}, left)
     if not spec.one_zone:
         return plan(limits)
     plans = [plan({zone: limit}) for zone, limit in sorted(limits.items())]
--- a/coveflow/core/planner.py
+++ b/coveflow/core/planner.py
@@ -7,15 +7,16 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
 
 import msgspec
 
 from coveflow import constants as c
 from coveflow.core.feasibility import spread_is_impossible
 from coveflow.core.model import Job, Spec
+from coveflow.core.pass_decisions import PassDecisions, is_starved
 from coveflow.core.placement import DEADLINE_SLACK, choose_machines, reserve_starts
 from coveflow.core.planner_state import (
+    CapacityView,
     PlannerState,
     PoolKey,
     build_capacity_view,
@@ -23,12 +24,10 @@
     jobs_within_guarantee,
     pool_key,
     start_deadline,
-    tasks_by_zone,
-    zone_limits,
 )
 from coveflow.core.preemption import choose_victims
 from coveflow.core.timeline import EPS, Reservation
-from coveflow.settings import Team, Tuning
+from coveflow.settings import Tuning
 
 
 class Start(msgspec.Struct, eq=False):
@@ -66,7 +65,7 @@
 
     - Jobs that have waited too long without any start. This goes beyond the paper: while enough
       other work arrived, a large job without a deadline never started. Such a job starts with a
-      part of its tasks (see `limit_start_count`) and then loses this rank.
+      part of its tasks (see `PassDecisions.allowed`) and then loses this rank.
     - Guaranteed jobs, by arrival.
     - Jobs whose deadline still has value and jobs of classes with goals, by priority, since only a
       higher priority may preempt a lower one, then by arrival. Jobs that are already late come
@@ -107,38 +106,13 @@
     return [job for _, _, job in ranked], {job.id for row, _, job in ranked if row[0] < 2}
 
 
-def is_starved(job: Job, state: PlannerState) -> bool:
-    """Whether the job has waited longer than BEGIN_S without any start.
-
-    Without overload no job waits that long, so the order of jobs is unaffected.
-    """
-    return not job.has_started and state.now - state.arrived_at[job.id] > c.FIRST_START_S
-
-
-def limit_start_count(job: Job, want: int, state: PlannerState) -> int:
-    """Return how many of `want` tasks the job may start now.
-
-    A job that waited too long for its first start gets a part of its tasks; otherwise it would
-    take all capacity that becomes free from the jobs ranked after it. A job whose tasks only fail
-    runs one task at a time: without this, 400 tasks kept occupying machines and fetching images
-    until their user cancelled the job.
-    """
-    if job.spec.kind == "gang":
-        return want
-    if job.errors and not job.done:
-        return min(want, max(0, 1 - len(job.placed)))
-    if is_starved(job, state):
-        return min(want, math.ceil(job.spec.tasks * c.FIRST_START_SHARE))
-    return want
-
-
 def class_floors(
     state: PlannerState, pending_jobs: list[Job], urgent: set[str], total: float
 ) -> dict[str, float]:
     """Return the CPUs that each starved class may take before all other jobs.
 
     A fraction of all CPUs is shared max-min fairly among the classes whose jobs have waited longer
-    than BEGIN_S, regardless of the value of other jobs. CPUs that a class already uses count
+    than FIRST_START_S, regardless of the value of other jobs. CPUs that a class already uses count
     towards its share. Jobs whose tasks only fail are excluded.
     """
     wants: dict[str, float] = {}
@@ -183,129 +157,165 @@
     last full pass it takes only when each job's first reservation in a pool starts, and keeps
     later jobs that would still be running then out of that pool.
     """
-    result = Plan()
-    full = previous_reservations is None
     guaranteed_jobs = jobs_within_guarantee(state)
     pending_jobs, urgent_jobs = rank_jobs(state, guaranteed_jobs, tuning, predictions)
     if not pending_jobs:
-        return result
+        return Plan()
+    full = previous_reservations is None
     least = min(job.spec.cpus for job in pending_jobs)
     view = build_capacity_view(state, tuning, predictions, slot_limit, full, least)
+    first = _first_reservations(previous_reservations or {}, state.now)
+    planning = _PlanningPass(state, tuning, predictions, guaranteed_jobs, view, full, first)
+    floors = class_floors(state, pending_jobs, urgent_jobs, view.total_cpus)
+    if floors:
+        for job in pending_jobs:
+            if job.id not in urgent_jobs:
+                planning.take_floor_turn(job, floors)
+    for job in pending_jobs:
+        planning.take_turn(job)
+    return planning.finish()
+
+
+def _first_reservations(
+    reservations: dict[PoolKey, list[Reservation]], now: float
+) -> dict[str, dict[tuple[PoolKey, bool], float]]:
+    """Return when each job's first reservation in a pool starts, without those that are over."""
     first: dict[str, dict[tuple[PoolKey, bool], float]] = {}
-    for reserved_pool, pool_reservations in (previous_reservations or {}).items():
+    for pool, pool_reservations in reservations.items():
         for reservation in pool_reservations:
-            if reservation.end > state.now:
+            if reservation.end > now:
                 earliest = first.setdefault(reservation.job, {})
-                key = (reserved_pool, reservation.size[2] > 0)
+                key = (pool, reservation.size[2] > 0)
                 earliest[key] = min(reservation.start, earliest.get(key, math.inf))
-    usage = dict(state.usage)
-    stopped: set[str] = set()
-    floor = class_floors(state, pending_jobs, urgent_jobs, view.total_cpus)
-    started_for_floor: dict[str, int] = {}  # tasks started within the floor of their class
-    floor_turns = [
-        (job, job.spec.workload) for job in pending_jobs if job.id not in urgent_jobs and floor
-    ]
-    for job, floor_class in [*floor_turns, *((job, "") for job in pending_jobs)]:
+    return first
+
+
+class _PlanningPass:
+    """One pass over the ranked jobs."""
+
+    def __init__(
+        self,
+        state: PlannerState,
+        tuning: Tuning,
+        predictions: dict[str, float],
+        guaranteed_jobs: set[str],
+        view: CapacityView,
+        full: bool,
+        first_reservations: dict[str, dict[tuple[PoolKey, bool], float]],
+    ) -> None:
+        self.state, self.tuning, self.predictions = state, tuning, predictions
+        self.guaranteed_jobs, self.view, self.full = guaranteed_jobs, view, full
+        self.first_reservations = first_reservations
+        self.decisions = PassDecisions(state)
+        self.stopped: set[str] = set()
+        self.result = Plan()
+
+    def take_floor_turn(self, job: Job, floors: dict[str, float]) -> None:
+        """Start tasks of the job within the floor of its class, and subtract them from it."""
         spec = job.spec
-        predicted_s = predictions.get(job.id, 60.0)
-        free = len(job.pending) - started_for_floor.get(job.id, 0)
-        allowed = count_within_limit(spec, free, usage, state.teams)
-        want = limit_start_count(job, min(free, allowed), state)
-        if floor_class:
-            want = min(want, int(floor.get(floor_class, 0.0) / max(spec.cpus, EPS)))
-        if spec.kind == "gang" and (want < spec.tasks or job.placed):
-            continue  # a gang starts all its tasks or none
-        first_in_line = job.id in guaranteed_jobs or spec.workload in state.goals
-        chosen = (
-            choose_machines(job, want, view, state, predicted_s, full, first_in_line)
-            if want
-            else []
+        floor_cpus = floors.get(spec.workload, 0.0)
+        want = min(self.decisions.allowed(job), int(floor_cpus / max(spec.cpus, EPS)))
+        if spec.kind == "gang" and want < spec.tasks:
+            return
+        floors[spec.workload] = floor_cpus - self._start(job, want) * spec.cpus
+
+    def take_turn(self, job: Job) -> None:
+        """Start tasks of the job, and plan for those that have to wait."""
+        allowed = self.decisions.allowed(job)
+        left = allowed - self._start(job, allowed)
+        if left:
+            self._plan_waiting_tasks(job, left)
+
+    def finish(self) -> Plan:
+        if self.full:
+            self.result.reservations = {
+                key: pool.reservations for key, pool in self.view.pools.items() if pool.reservations
+            }
+        self.result.steps = self.view.steps
+        return self.result
+
+    def _start(self, job: Job, want: int) -> int:
+        """Start up to `want` tasks of the job; return how many."""
+        if want <= 0:
+            return 0
+        spec, view = job.spec, self.view
+        predicted_s = self.predictions.get(job.id, 60.0)
+        first_in_line = job.id in self.guaranteed_jobs or spec.workload in self.state.goals
+        chosen = choose_machines(
+            job, want, view, self.state, self.decisions, predicted_s, self.full, first_in_line
         )
-        got = sum(count for _, count in chosen)
         for capacity, count in chosen:
-            result.starts.append(Start(job.id, capacity.machine.id, count))
+            machine = capacity.machine
+            self.result.starts.append(Start(job.id, machine.id, count))
+            self.decisions.record_start(job, machine, count)
             view.free_cpus -= spec.cpus * count
-            pool = view.pools.get(pool_key(capacity.machine))
-            if pool is not None and full:
-                pool.add_started(
-                    view.size(spec), count, state.now + predicted_s * capacity.machine.slowdown
-                )
-        if got:
-            cpus, acc = usage.get(spec.team, (0.0, 0.0))
-            usage[spec.team] = (cpus + spec.cpus * got, acc + spec.accelerators * got)
-        if floor_class:
-            floor[floor_class] = floor.get(floor_class, 0.0) - got * spec.cpus
-            started_for_floor[job.id] = got
-            continue
-        left = want - got
-        if not left:
-            continue
-        for key, at in first.get(job.id, {}).items():
+            pool = view.pools.get(pool_key(machine))
+            if pool is not None and self.full:
+                end = self.state.now + predicted_s * machine.slowdown
+                pool.add_started(view.size(spec), count, end)
+        return sum(count for _, count in chosen)
+
+    def _plan_waiting_tasks(self, job: Job, left: int) -> None:
+        """Reserve capacity for the job's other tasks; record a shortage; preempt other jobs."""
+        spec, state, view = job.spec, self.state, self.view
+        for key, at in self.first_reservations.get(job.id, {}).items():
             view.first_reservations[key] = min(at, view.first_reservations.get(key, math.inf))
         urgent = (
-            spec.deadline_s is not None or job.id in guaranteed_jobs or spec.workload in state.goals
+            spec.deadline_s is not None
+            or job.id in self.guaranteed_jobs
+            or spec.workload in state.goals
         )
-        due = start_deadline(job, state)
-        if spec.deadline_s is not None:
-            due = state.arrived_at[job.id] + spec.deadline_s - (1.0 + DEADLINE_SLACK) * predicted_s
-        elif due == math.inf:
-            due = -math.inf  # without a due time, every task that has to wait counts as late
         waited = state.now - state.arrived_at[job.id]
         planned, late = math.inf, left
-        zones = tasks_by_zone(job, state)
-        for capacity, count in chosen if zones or spec.one_zone or spec.spread else ():
-            zones[capacity.machine.zone] = zones.get(capacity.machine.zone, 0) + count
-        if full and (urgent or waited > tuning.wait_s):
-            planned, late = reserve_starts(job, left, view, state, predicted_s, due, zones)
+        if self.full and (urgent or waited > self.tuning.wait_s):
+            predicted_s = self.predictions.get(job.id, 60.0)
+            due = _latest_start(job, state, predicted_s)
+            planned, late = reserve_starts(job, left, view, state, self.decisions, predicted_s, due)
         if late:
-            usable_zones = _usable_zones(spec, zones, left, state)
-            result.shortages.append(
-                Shortage(spec, late, urgent, waited, zones, usable_zones, job.has_started)
+            self.result.shortages.append(
+                Shortage(
+                    spec,
+                    late,
+                    urgent,
+                    waited,
+                    dict(self.decisions.tasks_by_zone(job)),
+                    _usable_zones(job, left, state, self.decisions),
+                    job.has_started,
+                )
             )
-        if full and urgent:
+        if self.full and urgent:
             victims = choose_victims(
                 job,
                 left,
                 planned,
                 state,
-                tuning,
-                predictions,
-                guaranteed_jobs,
-                stopped,
+                self.tuning,
+                self.predictions,
+                self.guaranteed_jobs,
+                self.stopped,
                 view,
-                zones,
+                self.decisions,
             )
-            stopped.update(victims)
-            result.preempted_jobs += victims
-    if full:
-        result.reservations = {
-            key: pool.reservations for key, pool in view.pools.items() if pool.reservations
-        }
-    result.steps = view.steps
-    return result
+            self.stopped.update(victims)
+            self.result.preempted_jobs += victims
+
+
+def _latest_start(job: Job, state: PlannerState, predicted_s: float) -> float:
+    """Return the time after which a planned start is late."""
+    spec = job.spec
+    if spec.deadline_s is not None:
+        return state.arrived_at[job.id] + spec.deadline_s - (1.0 + DEADLINE_SLACK) * predicted_s
+    due = start_deadline(job, state)
+    # Without a due time, every task that has to wait counts as late.
+    return -math.inf if due == math.inf else due
 
 
 def _usable_zones(
-    spec: Spec, zones: Mapping[str, int], left: int, state: PlannerState
+    job: Job, left: int, state: PlannerState, decisions: PassDecisions
 ) -> frozenset[str] | None:
     """Return the zones in which another machine could run the job; None if all could."""
-    if not (spec.one_zone or spec.spread):
+    if not (job.spec.one_zone or job.spec.spread):
         return None
     known = {zone for flavor in state.flavors for zone in flavor.zones}
-    limits = zone_limits(spec, zones, known, left)
+    limits = decisions.zone_limits(job, known, left)
     return frozenset(zone for zone, limit in limits.items() if limit > 0)
-
-
-def count_within_limit(
-    spec: Spec, count: int, usage: dict[str, tuple[float, float]], teams: dict[str, Team]
-) -> int:
-    """Return how many of `count` tasks the team's limit allows now."""
-    team = teams.get(spec.team)
-    if team is None:
-        return 0
-    cpus, acc = usage.get(spec.team, (0.0, 0.0))
-    if team.cpus_max > 0 and spec.cpus > 0:
-        count = min(count, int((team.cpus_max - cpus + EPS) // spec.cpus))
-    if team.accelerators_max > 0 and spec.accelerators > 0:
-        count = min(count, int((team.accelerators_max - acc + EPS) // spec.accelerators))
-    return max(0, count)
--- a/coveflow/core/preemption.py
+++ b/coveflow/core/preemption.py
@@ -4,9 +4,9 @@
 
 import math
 from collections import Counter
-from collections.abc import Mapping
 
 from coveflow.core.model import Job, Spec, max_tasks_per_zone
+from coveflow.core.pass_decisions import PassDecisions
 from coveflow.core.planner_state import (
     CapacityView,
     Goal,
@@ -14,7 +14,6 @@
     PoolKey,
     pool_key,
     start_value,
-    zone_limits,
 )
 from coveflow.core.timeline import EPS, MachineCapacity, Size, count_fitting, count_usable
 from coveflow.settings import Tuning
@@ -84,11 +83,11 @@
     guaranteed_jobs: set[str],
     stopped: set[str],
     view: CapacityView,
-    zones: Mapping[str, int],
+    decisions: PassDecisions,
 ) -> list[str]:
     """Choose whole jobs to stop so that the rest of this job starts now instead of at `planned`.
 
-    `zones` counts the job's tasks by zone. Jobs in zones that this one may not use are no victims.
+    Jobs in zones that this one may not use are no victims.
     """
     spec = job.spec
     predicted_s = predictions.get(job.id, 60.0)
@@ -104,7 +103,7 @@
     over_guarantee = _teams_over_guarantee(spec, state)
     if view.attempts_by_job is None:
         view.attempts_by_job = _count_attempts(state, view)
-    limits = zone_limits(spec, zones, {m.zone for m in view.sample_machines.values()}, left)
+    limits = decisions.zone_limits(job, {m.zone for m in view.sample_machines.values()}, left)
     usable_pools = {
         key
         for key, m in view.sample_machines.items()
--- a/coveflow/core/wait_reasons.py
+++ b/coveflow/core/wait_reasons.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from coveflow.core.model import Flavor, Job, Machine
-from coveflow.core.planner import count_within_limit
+from coveflow.core.pass_decisions import count_within_limit
 from coveflow.core.timeline import count_fitting
 from coveflow.settings import Team
 
--- a/tests/test_combined.py
+++ b/tests/test_combined.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from coveflow.core import planner
+from coveflow.core import pass_decisions, planner
 from coveflow.core.model import Machine
 from coveflow.lab import worlds
 from coveflow.lab.combined import SCENARIOS, combined
@@ -26,7 +26,9 @@
 
 
 def limits_ignored(monkeypatch) -> None:
-    monkeypatch.setattr(planner, "count_within_limit", lambda spec, count, usage, teams: count)
+    monkeypatch.setattr(
+        pass_decisions, "count_within_limit", lambda spec, count, usage, teams: count
+    )
 
 
 def zones_ignored(monkeypatch) -> None:
--- a/tests/test_limits_meetings.py
+++ b/tests/test_limits_meetings.py
@@ -11,13 +11,14 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 import pytest
 from msgspec import structs
 
 from coveflow import constants as c
 from coveflow import wire
-from coveflow.core import placement, planner, preemption
+from coveflow.core import planner
 from coveflow.core.cancellations import Cancellations
 from coveflow.core.model import Job, Spec
 from coveflow.daemon.leader_state import LeaderState
@@ -717,11 +718,19 @@
         assert scenario.play() < WAIT_LIMIT_S
 
 
+def all_zones_open(job, zones, most):
+    return dict.fromkeys(zones, most)
+
+
 def test_reservations_in_forbidden_zones_are_detected(monkeypatch):
-    for module in (placement, planner, preemption):
-        monkeypatch.setattr(
-            module, "zone_limits", lambda spec, zones, there, most: dict.fromkeys(there, most)
-        )
+    """Reservations, preemptions and shortages disregard zones; starts do not."""
+    real = planner._PlanningPass._plan_waiting_tasks
+
+    def plan_anywhere(planning, job, left):
+        with mock.patch.object(planning.decisions, "zone_limits", all_zones_open):
+            real(planning, job, left)
+
+    monkeypatch.setattr(planner._PlanningPass, "_plan_waiting_tasks", plan_anywhere)
     with ZoneBoundScenario("no room elsewhere") as scenario:
         scenario.world.run(200.0)
         assert scenario.waited_s > 5 * WAIT_LIMIT_S
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from coveflow import constants as c
-from coveflow.core import placement, planner
+from coveflow.core import pass_decisions, placement
 from coveflow.daemon import commands as cm
 from coveflow.daemon.report_answers import ReportAnswers
 from coveflow.lab.replies import Reply
@@ -165,8 +165,8 @@
 
 
 def test_check_detects_a_gang_outside_its_zone(monkeypatch):
-    def choose_any_zone(options, want, spec, spare):
-        return placement._take_options(options, want, spec, spare, {})
+    def choose_any_zone(options, want, spec, spare, limits):
+        return placement._take_options(options, want, spare, None)
 
     monkeypatch.setattr(placement, "_choose_for_gang", choose_any_zone)
     with pytest.raises(Broken, match="wrong_place"):
@@ -177,9 +177,9 @@
 
 
 def test_check_detects_accelerators_over_the_limit(monkeypatch):
-    honest = planner.count_within_limit
+    honest = pass_decisions.count_within_limit
     monkeypatch.setattr(
-        planner,
+        pass_decisions,
         "count_within_limit",
         lambda spec, count, usage, teams: honest(spec, count, {}, teams),
     )
