Limits on how many tasks of a job start hold for the whole pass

What callers saw: a job whose tasks only fail ran two tasks at a time in place of one, and a job with starts for the floor of its class took an eighth of its tasks more on capacity kept for others. The pass visits such a job twice, and both limits looked at the placements before the pass. Team limits were counted over the pass already. Change: PassDecisions.active counts placed tasks and starts of the pass, and the limits go by it.

--- a/coveflow/core/pass_decisions.py
+++ b/coveflow/core/pass_decisions.py
@@ -58,6 +58,10 @@
         """Return how many tasks of the job still wait for a start."""
         return len(job.pending) - self._started.get(job.id, 0)
 
+    def active(self, job: Job) -> int:
+        """Return how many tasks of the job are on machines, or start in this pass."""
+        return len(job.placed) + self._started.get(job.id, 0)
+
     def tasks_by_zone(self, job: Job) -> dict[str, int]:
         """Count the job's tasks by zone, those started in this pass included.
 
@@ -83,11 +87,11 @@
         spec = job.spec
         count = count_within_limit(spec, self.waiting(job), self._usage, self._state.teams)
         if spec.kind == "gang":
-            return 0 if count < spec.tasks or job.placed else count
+            return 0 if count < spec.tasks or self.active(job) else count
         if job.errors and not job.done:
-            return min(count, max(0, 1 - len(job.placed)))
+            return min(count, max(0, 1 - self.active(job)))
         if is_starved(job, self._state):
-            return min(count, first_share(spec))
+            return min(count, max(0, first_share(spec) - self._started.get(job.id, 0)))
         return count
 
     def record_start(self, job: Job, machine: Machine, count: int) -> None:
--- a/coveflow/core/placement.py
+++ b/coveflow/core/placement.py
@@ -47,7 +47,8 @@
     that is kept for others, who may preempt it there.
     """
     chosen = _choose_machines(job, want, view, state, decisions, predicted_s, full, first, False)
-    if chosen or job.placed or state.now - state.arrived_at[job.id] < RESERVED_CAPACITY_WAIT_S:
+    waited_s = state.now - state.arrived_at[job.id]
+    if chosen or decisions.active(job) or waited_s < RESERVED_CAPACITY_WAIT_S:
         return chosen
     if job.spec.kind != "gang":
         want = min(want, first_share(job.spec))
--- a/tests/pass_rules.py
+++ b/tests/pass_rules.py
@@ -242,6 +242,8 @@
             whole = count == job.spec.tasks and not old.placed
             require(whole, f"a part of gang {job.id} starts")
             continue
+        if job.errors and not job.done:
+            require(len(job.placed) <= 1, f"failing {job.id} runs {len(job.placed)} tasks")
         if old.starved:
             share = math.ceil(job.spec.tasks * c.FIRST_START_SHARE)
             require(count <= share, f"starved {job.id} starts {count} of {share} tasks")
--- a/tests/test_pass_rules.py
+++ b/tests/test_pass_rules.py
@@ -12,7 +12,7 @@
 from coveflow.core import planner
 from coveflow.core.model import Job, Machine
 from coveflow.core.pass_decisions import PassDecisions
-from coveflow.core.planner_state import PlannerState, tasks_by_zone
+from coveflow.core.planner_state import AcceleratorUse, PlannerState, tasks_by_zone
 from coveflow.settings import Team, Tuning
 from tests.pass_rules import SLOTS, RuleBroken, apply_and_check, draw_state
 from tests.samples import flavor, spec
@@ -27,6 +27,7 @@
 
 SMALL = flavor("m8")
 LARGE = flavor("m16", cpus=16.0, ram_gb=64.0)
+ACCELERATED = flavor("v12", cpus=12.0, accelerators=2.0, ram_gb=48.0)
 
 
 def machine(name: str, zone: str, kind=SMALL) -> Machine:
@@ -52,7 +53,7 @@
         now=AGED_S,
         arrived_at={job.id: job.accepted_at for job in jobs},
         zone_by_machine={m.id: m.zone for m in machines},
-        flavors=[SMALL, LARGE],
+        flavors=[SMALL, LARGE, ACCELERATED],
     )
 
 
@@ -183,3 +184,32 @@
         world.run(world.now + 60.0)  # raises any violation
         zones = scenario.zones()
         assert len(set(zones)) == 1 and len(zones) >= 3, zones
+
+
+# --- limits on how many start ----------------------------------------------------------------
+
+
+@pytest.mark.parametrize("full", [True, False])
+def test_a_failing_job_runs_one_task_at_a_time_beside_the_floor_of_its_class(full):
+    """Regression: where another job of its class had a floor, it started one task a visit."""
+    waiting, failing = started_before("j-1", tasks=4), started_before("j-2", tasks=8)
+    failing.errors = 2
+    state = aged_state([failing, waiting], [machine("a", "north", LARGE), machine("b", "north")])
+    counts = starts_by_zone(run_pass(state, full), state, "j-2")
+    assert counts == {"north": 1}
+
+
+@pytest.mark.parametrize("full", [True, False])
+def test_a_job_with_a_start_for_its_floor_takes_no_capacity_kept_for_others(full):
+    """Regression: only a job of which nothing runs may, and the floor's starts were not counted."""
+    job, others = started_before("j-1", tasks=40), started_before("j-2", tasks=5, workload="probe")
+    gang = started_before("j-3", kind="gang", tasks=1, cpus=10.0, accelerators=2.0, ram_gb=30.0)
+    small, accelerated = machine("a", "north"), machine("b", "north", ACCELERATED)
+    gang.not_before = AGED_S + 1.0  # its accelerators stay free for it
+    while others.pending:
+        others.place(small, 0.0)
+    state = aged_state([job, others, gang], [small, accelerated])
+    state.accelerator_uses = frozenset({AcceleratorUse(6.0, 24.0)})
+    plan = run_pass(state, full)
+    assert {start.machine for start in plan.starts} == {"a"}
+    assert sum(start.count for start in plan.starts) == 3
