A job that starts in a pass is not preempted in it, and the reverse

What callers saw: starts of a best-effort job that were stopped at once; no rule was broken. Change: PassDecisions holds the preempted jobs as well, in place of the set `stopped`. Waiting tasks of a victim are planned for later as before.

--- a/coveflow/core/pass_decisions.py
+++ b/coveflow/core/pass_decisions.py
@@ -46,13 +46,14 @@
 
 
 class PassDecisions:
-    """The starts of one planning pass, and the limits on its further ones."""
+    """The starts and preemptions of one pass, and the limits on its further ones."""
 
     def __init__(self, state: PlannerState) -> None:
         self._state = state
         self._usage = dict(state.usage)
         self._started: dict[str, int] = {}  # tasks started in this pass, by job
         self._zones: dict[str, dict[str, int]] = {}  # placed and started tasks, by job and zone
+        self._preempted: set[str] = set()
 
     def waiting(self, job: Job) -> int:
         """Return how many tasks of the job still wait for a start."""
@@ -94,6 +95,13 @@
             return min(count, max(0, first_share(spec) - self._started.get(job.id, 0)))
         return count
 
+    def startable(self, job: Job) -> int:
+        """Return how many more tasks of the job may start in this pass.
+
+        None of a job that is preempted in this pass: they would be stopped at once.
+        """
+        return 0 if job.id in self._preempted else self.allowed(job)
+
     def record_start(self, job: Job, machine: Machine, count: int) -> None:
         """Record that `count` tasks of the job start on the machine."""
         spec = job.spec
@@ -106,3 +114,14 @@
         if spec.one_zone or spec.spread:
             zones = self.tasks_by_zone(job)
             zones[machine.zone] = zones.get(machine.zone, 0) + count
+
+    def may_be_preempted(self, job: Job) -> bool:
+        """Return whether the job is open to preemption, as far as this pass is concerned.
+
+        A job that starts tasks in this pass is not: those starts would be stopped at once.
+        """
+        return job.id not in self._preempted and job.id not in self._started
+
+    def record_preemptions(self, names: Iterable[str]) -> None:
+        """Record that all tasks of these jobs are stopped."""
+        self._preempted.update(names)
--- a/coveflow/core/planner.py
+++ b/coveflow/core/planner.py
@@ -207,14 +207,13 @@
         self.guaranteed_jobs, self.view, self.full = guaranteed_jobs, view, full
         self.first_reservations = first_reservations
         self.decisions = PassDecisions(state)
-        self.stopped: set[str] = set()
         self.result = Plan()
 
     def take_floor_turn(self, job: Job, floors: dict[str, float]) -> None:
         """Start tasks of the job within the floor of its class, and subtract them from it."""
         spec = job.spec
         floor_cpus = floors.get(spec.workload, 0.0)
-        want = min(self.decisions.allowed(job), int(floor_cpus / max(spec.cpus, EPS)))
+        want = min(self.decisions.startable(job), int(floor_cpus / max(spec.cpus, EPS)))
         if spec.kind == "gang" and want < spec.tasks:
             return
         floors[spec.workload] = floor_cpus - self._start(job, want) * spec.cpus
@@ -222,7 +221,7 @@
     def take_turn(self, job: Job) -> None:
         """Start tasks of the job, and plan for those that have to wait."""
         allowed = self.decisions.allowed(job)
-        left = allowed - self._start(job, allowed)
+        left = allowed - self._start(job, self.decisions.startable(job))
         if left:
             self._plan_waiting_tasks(job, left)
 
@@ -292,11 +291,10 @@
                 self.tuning,
                 self.predictions,
                 self.guaranteed_jobs,
-                self.stopped,
                 view,
                 self.decisions,
             )
-            self.stopped.update(victims)
+            self.decisions.record_preemptions(victims)
             self.result.preempted_jobs += victims
 
 
--- a/coveflow/core/preemption.py
+++ b/coveflow/core/preemption.py
@@ -81,7 +81,6 @@
     tuning: Tuning,
     predictions: dict[str, float],
     guaranteed_jobs: set[str],
-    stopped: set[str],
     view: CapacityView,
     decisions: PassDecisions,
 ) -> list[str]:
@@ -113,7 +112,7 @@
         return []  # earlier stops are still releasing capacity; wait for their result
     options = []
     for victim in state.jobs:
-        if victim.id == job.id or victim.id in stopped or not victim.placed:
+        if victim.id == job.id or not victim.placed or not decisions.may_be_preempted(victim):
             continue
         if not victim.may_repeat:
             continue  # a job that must not run twice is never preempted
--- a/tests/pass_rules.py
+++ b/tests/pass_rules.py
@@ -302,3 +302,4 @@
     for name in names:
         require(jobs[name].may_repeat, f"{name} must not run twice and is preempted")
         require(before[name].placed > 0, f"{name} has no tasks and is preempted")
+        require(not started[name], f"{name} is given starts and preempted in one pass")
--- a/tests/test_pass_rules.py
+++ b/tests/test_pass_rules.py
@@ -213,3 +213,39 @@
     plan = run_pass(state, full)
     assert {start.machine for start in plan.starts} == {"a"}
     assert sum(start.count for start in plan.starts) == 3
+
+
+# --- preemption ------------------------------------------------------------------------------
+
+
+def preemption_state(victim_arrived_at: float) -> PlannerState:
+    """A job that runs on one machine and may start on others, and one that may preempt it."""
+    full = machine("a", "north")
+    idle = [machine(f"b-{i}", "north", LARGE) for i in range(4)]
+    victim = Job(spec("j-1", tasks=10, priority=0), victim_arrived_at, 1)
+    victim.recompute_pending()
+    while full.cpus >= 1.0:
+        victim.place(full, 0.0).running_since = 0.0
+    urgent = Job(
+        spec("j-2", tasks=1, cpus=8.0, types=["m8"], priority=3, deadline_s=45.0), AGED_S - 5.0, 1
+    )
+    urgent.recompute_pending()
+    state = aged_state([victim, urgent], [full, *idle])
+    state.usage = {"blue": (8.0, 0.0)}
+    return state
+
+
+def plan_preemption(state: PlannerState) -> planner.Plan:
+    return planner.plan(state, Tuning(), {"j-1": 500.0, "j-2": 30.0}, 200)
+
+
+def test_a_job_that_starts_in_a_pass_is_not_preempted_in_it():
+    """Regression: the floor's starts were stopped at once, with the rest of the job."""
+    plan = plan_preemption(preemption_state(victim_arrived_at=0.0))
+    assert {start.job for start in plan.starts} == {"j-1"} and not plan.preempted_jobs
+
+
+def test_a_job_that_is_preempted_in_a_pass_starts_nothing_in_it():
+    """Regression: its waiting tasks were started in its turn, and stopped at once."""
+    plan = plan_preemption(preemption_state(victim_arrived_at=AGED_S - 40.0))
+    assert plan.preempted_jobs == ["j-1"] and not plan.starts
