A shortage counts a start of the same pass as the job's first

What callers saw: for one cycle, on-demand machines could be rented for a job that had just started, as only a job of which nothing was ever placed may have them while spot machines are refused. Change: PassDecisions.has_started.

--- a/coveflow/core/pass_decisions.py
+++ b/coveflow/core/pass_decisions.py
@@ -63,6 +63,10 @@
         """Return how many tasks of the job are on machines, or start in this pass."""
         return len(job.placed) + self._started.get(job.id, 0)
 
+    def has_started(self, job: Job) -> bool:
+        """Return whether any task of the job was ever started, also in this pass."""
+        return job.has_started or job.id in self._started
+
     def tasks_by_zone(self, job: Job) -> dict[str, int]:
         """Count the job's tasks by zone, those started in this pass included.
 
--- a/coveflow/core/planner.py
+++ b/coveflow/core/planner.py
@@ -279,7 +279,7 @@
                     waited,
                     dict(self.decisions.tasks_by_zone(job)),
                     _usable_zones(job, left, state, self.decisions),
-                    job.has_started,
+                    self.decisions.has_started(job),
                 )
             )
         if self.full and urgent:
--- a/tests/pass_rules.py
+++ b/tests/pass_rules.py
@@ -279,6 +279,7 @@
     for shortage in plan.shortages:
         job, made = jobs[shortage.spec.id], shortage.spec
         require(shortage.count <= len(job.pending), f"{made.id} lacks {shortage.count}")
+        require(shortage.has_started == job.has_started, f"{made.id} has started or not")
         if not (made.one_zone or made.spread):
             continue
         there = zones_of(job, state.zone_by_machine)
--- a/tests/test_pass_rules.py
+++ b/tests/test_pass_rules.py
@@ -249,3 +249,14 @@
     """Regression: its waiting tasks were started in its turn, and stopped at once."""
     plan = plan_preemption(preemption_state(victim_arrived_at=AGED_S - 40.0))
     assert plan.preempted_jobs == ["j-1"] and not plan.starts
+
+
+# --- shortages -------------------------------------------------------------------------------
+
+
+def test_a_shortage_knows_that_the_job_starts_in_the_same_pass():
+    """Regression: the job counted as never started, and on-demand machines were rented for it."""
+    job = Job(spec("j-1", tasks=80, cpus=4.0), 0.0, 1)
+    job.recompute_pending()
+    (shortage,) = run_pass(aged_state([job], [machine("a", "north")]), True).shortages
+    assert shortage.has_started and shortage.count == 8
