Pass decisions: zones collected once a pass, victims looked up in a set

Change: not_preemptible and preempted are sets; all zones are collected on first use; limits of a job are asked for once a turn.

--- a/coveflow/core/pass_decisions.py
+++ b/coveflow/core/pass_decisions.py
@@ -52,12 +52,13 @@
         self._state = state
         self._usage = dict(state.usage)
         self._started: dict[str, int] = {}  # tasks started in this pass, by job
-        self._zones: dict[str, dict[str, int]] = {}  # placed and started tasks, by job and zone
-        self._preempted: set[str] = set()
-
-    def waiting(self, job: Job) -> int:
-        """Return how many tasks of the job still wait for a start."""
-        return len(job.pending) - self._started.get(job.id, 0)
+        # Placed and started tasks by job and zone, for jobs that are bound to zones.
+        self._tasks_by_zone: dict[str, dict[str, int]] = {}
+        self._zones: frozenset[str] | None = None  # all zones; collected on first use
+        self.preempted: set[str] = set()  # jobs that start nothing more in this pass
+        # Jobs with a start or a preemption in this pass. They are not preempted in it (again): the
+        # starts would be stopped at once.
+        self.not_preemptible: set[str] = set()
 
     def active(self, job: Job) -> int:
         """Return how many tasks of the job are on machines, or start in this pass."""
@@ -72,14 +73,22 @@
 
         Empty if no constraint binds the job to zones. The caller must not change the result.
         """
-        counts = self._zones.get(job.id)
+        if not (job.spec.one_zone or job.spec.spread):
+            return {}
+        counts = self._tasks_by_zone.get(job.id)
         if counts is None:
-            counts = self._zones[job.id] = tasks_by_zone(job, self._state)
+            counts = self._tasks_by_zone[job.id] = tasks_by_zone(job, self._state)
         return counts
 
-    def zone_limits(self, job: Job, zones: Iterable[str], most: int) -> dict[str, int]:
-        """Return how many more tasks of the job each of these zones may take, at most `most`."""
-        return zone_limits(job.spec, self.tasks_by_zone(job), zones, most)
+    def zone_limits(self, job: Job, most: int) -> dict[str, int]:
+        """Return how many more tasks of the job each zone may take, at most `most`.
+
+        A zone that is left out may take none.
+        """
+        if self._zones is None:
+            offered = {zone for flavor in self._state.flavors for zone in flavor.zones}
+            self._zones = frozenset(offered.union(m.zone for m in self._state.machines))
+        return zone_limits(job.spec, self.tasks_by_zone(job), self._zones, most)
 
     def allowed(self, job: Job) -> int:
         """Return how many more tasks of the job the limits allow, wherever there is capacity.
@@ -89,43 +98,32 @@
         fail runs one task at a time: without this, 400 tasks kept occupying machines and fetching
         images until their user cancelled the job. A gang starts all its tasks or none.
         """
-        spec = job.spec
-        count = count_within_limit(spec, self.waiting(job), self._usage, self._state.teams)
+        spec, started = job.spec, self._started.get(job.id, 0)
+        waiting = len(job.pending) - started
+        count = count_within_limit(spec, waiting, self._usage, self._state.teams)
         if spec.kind == "gang":
             return 0 if count < spec.tasks or self.active(job) else count
         if job.errors and not job.done:
             return min(count, max(0, 1 - self.active(job)))
         if is_starved(job, self._state):
-            return min(count, max(0, first_share(spec) - self._started.get(job.id, 0)))
+            return min(count, max(0, first_share(spec) - started))
         return count
 
-    def startable(self, job: Job) -> int:
-        """Return how many more tasks of the job may start in this pass.
-
-        None of a job that is preempted in this pass: they would be stopped at once.
-        """
-        return 0 if job.id in self._preempted else self.allowed(job)
-
     def record_start(self, job: Job, machine: Machine, count: int) -> None:
         """Record that `count` tasks of the job start on the machine."""
         spec = job.spec
         self._started[job.id] = self._started.get(job.id, 0) + count
+        self.not_preemptible.add(job.id)
         cpus, accelerators = self._usage.get(spec.team, (0.0, 0.0))
         self._usage[spec.team] = (
             cpus + spec.cpus * count,
             accelerators + spec.accelerators * count,
         )
         if spec.one_zone or spec.spread:
-            zones = self.tasks_by_zone(job)
-            zones[machine.zone] = zones.get(machine.zone, 0) + count
-
-    def may_be_preempted(self, job: Job) -> bool:
-        """Return whether the job is open to preemption, as far as this pass is concerned.
-
-        A job that starts tasks in this pass is not: those starts would be stopped at once.
-        """
-        return job.id not in self._preempted and job.id not in self._started
+            counts = self.tasks_by_zone(job)
+            counts[machine.zone] = counts.get(machine.zone, 0) + count
 
     def record_preemptions(self, names: Iterable[str]) -> None:
         """Record that all tasks of these jobs are stopped."""
-        self._preempted.update(names)
+        self.preempted.update(names)
+        self.not_preemptible.update(names)
--- a/coveflow/core/placement.py
+++ b/coveflow/core/placement.py
@@ -115,10 +115,9 @@
     ]
     limits = None
     if spec.one_zone or spec.spread:
-        zones = {key[1] for key in eligible} | {capacity.machine.zone for capacity in leaving}
         # By all tasks that may start, not only by `want`: otherwise the floor of its class, a task
         # or two, would bind a large job to a zone in which the others do not fit.
-        limits = decisions.zone_limits(job, zones, decisions.allowed(job))
+        limits = decisions.zone_limits(job, decisions.allowed(job))
     if needs_all_options:
         capacities = [capacity for key in eligible for capacity in view.pools[key].capacities]
         options = _sorted_options(job, size, [*capacities, *leaving], view.tight, predicted_s)
@@ -299,7 +298,7 @@
     if spec.kind == "gang":
         found = _reserve_gang(spec, view.size(spec), pools, predicted_s, job.id, buckets)
     elif spec.one_zone or spec.spread:
-        limits = decisions.zone_limits(job, {pool.zone for pool in pools}, left)
+        limits = decisions.zone_limits(job, left)
         found = _reserve_in_zones(
             spec, view.size(spec), pools, left, predicted_s, job.id, buckets, limits
         )
@@ -335,7 +334,8 @@
 
     if not spec.one_zone:
         return plan(limits)
-    plans = [plan({zone: limit}) for zone, limit in sorted(limits.items())]
+    zones = sorted({pool.zone for pool in pools}.intersection(limits))
+    plans = [plan({zone: limits[zone]}) for zone in zones]
     return max(
         plans, key=lambda found: sum(reservation.count for _, reservation in found), default=[]
     )
--- a/coveflow/core/planner.py
+++ b/coveflow/core/planner.py
@@ -213,7 +213,7 @@
         """Start tasks of the job within the floor of its class, and subtract them from it."""
         spec = job.spec
         floor_cpus = floors.get(spec.workload, 0.0)
-        want = min(self.decisions.startable(job), int(floor_cpus / max(spec.cpus, EPS)))
+        want = min(self.decisions.allowed(job), int(floor_cpus / max(spec.cpus, EPS)))
         if spec.kind == "gang" and want < spec.tasks:
             return
         floors[spec.workload] = floor_cpus - self._start(job, want) * spec.cpus
@@ -221,7 +221,7 @@
     def take_turn(self, job: Job) -> None:
         """Start tasks of the job, and plan for those that have to wait."""
         allowed = self.decisions.allowed(job)
-        left = allowed - self._start(job, self.decisions.startable(job))
+        left = allowed - self._start(job, allowed)
         if left:
             self._plan_waiting_tasks(job, left)
 
@@ -235,7 +235,7 @@
 
     def _start(self, job: Job, want: int) -> int:
         """Start up to `want` tasks of the job; return how many."""
-        if want <= 0:
+        if want <= 0 or job.id in self.decisions.preempted:
             return 0
         spec, view = job.spec, self.view
         predicted_s = self.predictions.get(job.id, 60.0)
@@ -278,7 +278,7 @@
                     urgent,
                     waited,
                     dict(self.decisions.tasks_by_zone(job)),
-                    _usable_zones(job, left, state, self.decisions),
+                    _usable_zones(job, left, self.decisions),
                     self.decisions.has_started(job),
                 )
             )
@@ -308,12 +308,9 @@
     return -math.inf if due == math.inf else due
 
 
-def _usable_zones(
-    job: Job, left: int, state: PlannerState, decisions: PassDecisions
-) -> frozenset[str] | None:
+def _usable_zones(job: Job, left: int, decisions: PassDecisions) -> frozenset[str] | None:
     """Return the zones in which another machine could run the job; None if all could."""
     if not (job.spec.one_zone or job.spec.spread):
         return None
-    known = {zone for flavor in state.flavors for zone in flavor.zones}
-    limits = decisions.zone_limits(job, known, left)
+    limits = decisions.zone_limits(job, left)
     return frozenset(zone for zone, limit in limits.items() if limit > 0)
--- a/coveflow/core/preemption.py
+++ b/coveflow/core/preemption.py
@@ -102,7 +102,7 @@
     over_guarantee = _teams_over_guarantee(spec, state)
     if view.attempts_by_job is None:
         view.attempts_by_job = _count_attempts(state, view)
-    limits = decisions.zone_limits(job, {m.zone for m in view.sample_machines.values()}, left)
+    limits = decisions.zone_limits(job, left)
     usable_pools = {
         key
         for key, m in view.sample_machines.items()
@@ -112,7 +112,9 @@
         return []  # earlier stops are still releasing capacity; wait for their result
     options = []
     for victim in state.jobs:
-        if victim.id == job.id or not victim.placed or not decisions.may_be_preempted(victim):
+        if victim.id == job.id or not victim.placed:
+            continue
+        if victim.id in decisions.not_preemptible:
             continue
         if not victim.may_repeat:
             continue  # a job that must not run twice is never preempted
--- a/tests/test_limits_meetings.py
+++ b/tests/test_limits_meetings.py
@@ -718,8 +718,8 @@
         assert scenario.play() < WAIT_LIMIT_S
 
 
-def all_zones_open(job, zones, most):
-    return dict.fromkeys(zones, most)
+def all_zones_open(job, most):
+    return dict.fromkeys(SIDES, most)
 
 
 def test_reservations_in_forbidden_zones_are_detected(monkeypatch):
