A job whose tasks only fail takes nothing of the floor of its class

What callers saw: such a job got a start of the floor before the jobs that the floor is for. Cause: the floor left it out where it is computed, not where it is given out; docs/design.md says that such a job has no part in a floor. Change: pass_decisions.only_fails, asked in both places and for the limit of one task at a time.

--- a/coveflow/core/pass_decisions.py
+++ b/coveflow/core/pass_decisions.py
@@ -25,6 +25,11 @@
     return not job.has_started and state.now - state.arrived_at[job.id] > c.FIRST_START_S
 
 
+def only_fails(job: Job) -> bool:
+    """Whether tasks of the job failed and none was completed yet."""
+    return bool(job.errors) and not job.done
+
+
 def first_share(spec: Spec) -> int:
     """Return how many tasks a job may start at first after a long wait."""
     return math.ceil(spec.tasks * c.FIRST_START_SHARE)
@@ -103,7 +108,7 @@
         count = count_within_limit(spec, waiting, self._usage, self._state.teams)
         if spec.kind == "gang":
             return 0 if count < spec.tasks or self.active(job) else count
-        if job.errors and not job.done:
+        if only_fails(job):
             return min(count, max(0, 1 - self.active(job)))
         if is_starved(job, self._state):
             return min(count, max(0, first_share(spec) - started))
--- a/coveflow/core/planner.py
+++ b/coveflow/core/planner.py
@@ -13,7 +13,7 @@
 from coveflow import constants as c
 from coveflow.core.feasibility import spread_is_impossible
 from coveflow.core.model import Job, Spec
-from coveflow.core.pass_decisions import PassDecisions, is_starved
+from coveflow.core.pass_decisions import PassDecisions, is_starved, only_fails
 from coveflow.core.placement import DEADLINE_SLACK, choose_machines, reserve_starts
 from coveflow.core.planner_state import (
     CapacityView,
@@ -119,7 +119,7 @@
     for job in pending_jobs:
         spec = job.spec
         aged = state.now - state.arrived_at[job.id] > c.FIRST_START_S
-        if aged and job.id not in urgent and not (job.errors and not job.done):
+        if aged and job.id not in urgent and not only_fails(job):
             wants[spec.workload] = wants.get(spec.workload, 0.0) + spec.cpus * len(job.pending)
     if not wants:
         return {}
@@ -169,7 +169,7 @@
     floors = class_floors(state, pending_jobs, urgent_jobs, view.total_cpus)
     if floors:
         for job in pending_jobs:
-            if job.id not in urgent_jobs:
+            if job.id not in urgent_jobs and not only_fails(job):
                 planning.take_floor_turn(job, floors)
     for job in pending_jobs:
         planning.take_turn(job)
--- a/tests/test_pass_rules.py
+++ b/tests/test_pass_rules.py
@@ -199,6 +199,20 @@
     assert counts == {"north": 1}
 
 
+@pytest.mark.parametrize("full", [True, False])
+def test_a_failing_job_takes_nothing_of_the_floor_of_its_class(full):
+    """Regression: it was left out where the floor is computed, but not where it is used."""
+    waiting, failing = started_before("j-1", tasks=4), started_before("j-2", tasks=8)
+    failing.errors = 2
+    urgent = Job(spec("j-3", tasks=99, deadline_s=90.0, priority=3), AGED_S - 5.0, 1)
+    urgent.recompute_pending()
+    machines = [machine("a", "north", LARGE), machine("b", "north")]
+    state = aged_state([failing, waiting, urgent], machines)
+    plan = run_pass(state, full)
+    assert starts_by_zone(plan, state, "j-1") == {"north": 3}
+    assert starts_by_zone(plan, state, "j-2") == {}
+
+
 @pytest.mark.parametrize("full", [True, False])
 def test_a_job_with_a_start_for_its_floor_takes_no_capacity_kept_for_others(full):
     """Regression: only a job of which nothing runs may, and the floor's starts were not counted."""
