--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -35,6 +35,7 @@
 
 LOCAL = "127.0.0.1"
 POLL_S = 5.0  # users poll about as often
+JOBS = "/work"  # path of the users' requests
 clock = time.monotonic
 
 # Three of the deployments, in the numbers of their site files. A team: name, CPUs guaranteed and at
@@ -915,7 +916,7 @@
         ends, status = clock() + tries_s, 0
         while clock() < ends:
             name = node or random.choice(self.names)
-            status, answer = await self.request(name, "POST", "/work", spec, 5.0)
+            status, answer = await self.request(name, "POST", JOBS, spec, 5.0)
             self.say(f"submit {job} at {name}: {status} {answer}", quiet=True)
             if status in (200, 201):
                 self.accepted.setdefault(job, clock())
@@ -929,7 +930,7 @@
 
     async def poll(self, job, node=None):
         name, known = node or random.choice(self.names), self.final.get(job)
-        status, answer = await self.request(name, "GET", f"/work/{job}", None, 2.0)
+        status, answer = await self.request(name, "GET", f"{JOBS}/{job}", None, 2.0)
         self.say(f"poll {job} at {name}: {status} {answer}", quiet=True)
         if status == 404 and job in self.accepted:
             self.broke("forgotten", f"{job} gets 404 at {name}")
@@ -954,7 +955,7 @@
         ends = clock() + tries_s
         while clock() < ends:
             name = node or random.choice(self.names)
-            status, answer = await self.request(name, "POST", f"/work/{job}/abort", {}, 5.0)
+            status, answer = await self.request(name, "POST", f"{JOBS}/{job}/abort", {}, 5.0)
             self.say(f"abort {job} at {name}: {status} {answer}", quiet=True)
             if status == 200 and answer and answer["status"] in ("cancelled", "done"):
                 self.seen(job, answer["status"], name)
