A slot whose items do not fit stays the next one to overwrite

Cause: Draft._open_slot took the oldest slot off its iterator before it knew whether its live items fit; a smaller item then took the slot after it.

Change: the slot stays next until it fits. A leader that finds slots overwritten out of order leads: the newest copy of every item is there, and only a tombstone may be lost. Slots state their total number, so that a missing one is still refused. A restored attempt never displaces a newer one of the same task.

--- a/coveflow/daemon/restore.py
+++ b/coveflow/daemon/restore.py
@@ -33,6 +33,11 @@
     slots = [row for row in rows if row[0] != HISTORY]
     history_rev = _restore_histories(state, rows)
     state.records.load(slots)
+    if state.records.overwritten_early:
+        log.error(
+            "slots were overwritten out of order; leading with all items",
+            transactions=state.records.overwritten_early,
+        )
     for entry in inbox.accepted.values():
         state.apply_accepted(entry)
     for item, value in state.records.values.items():
@@ -135,5 +140,15 @@
                 m.placements[p.key] = p
                 m.allocate(job.spec)
                 job.attempts += 1
-                if task not in job.done or task not in job.placed:
+                if _is_newest_attempt(job, p):
                     job.placed[task] = p
+
+
+def _is_newest_attempt(job: Job, p: Placement) -> bool:
+    """Whether no restored attempt of the task is newer.
+
+    A machine that is gone may be back in the records (see `Records.load`); the end of its attempt
+    must not free a task that runs elsewhere.
+    """
+    other = job.placed.get(p.task)
+    return other is None or other.number < p.number
--- a/coveflow/state/records.py
+++ b/coveflow/state/records.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from typing import Any
 
 import msgspec
@@ -61,6 +61,7 @@
         self.content_of: dict[str, SlotContent] = {}
         self.sizes: dict[str, int] = {}
         self.oldest_slots = iter(records.slots.values())
+        self.oldest = next(self.oldest_slots, None)  # the slot to overwrite next
         self.new_slots = 0
 
     def add(self, item: str, value: Any) -> bool:
@@ -101,7 +102,11 @@
         self.bytes_left += size
 
     def _open_slot(self) -> bool:
-        """Start the next slot: a new one while there are too few, else the oldest one."""
+        """Start the next slot: a new one while there are too few, else the oldest one.
+
+        An oldest slot whose live items do not fit stays the next one to overwrite: a smaller item
+        must not take the slot after it.
+        """
         records = self.records
         if len(self.contents) >= self.most_slots:
             return False
@@ -110,13 +115,14 @@
             self.new_slots += 1
             self.contents.append(SlotContent(number, 0))
             return True
-        oldest = next(self.oldest_slots, None)
+        oldest = self.oldest
         if oldest is None:
             return False
         live = [item for item in oldest.live if item not in self.content_of]
         live_bytes = sum(records.sizes[item] for item in live)
         if live_bytes > self.bytes_left:
             return False
+        self.oldest = next(self.oldest_slots, None)
         content = SlotContent(oldest.number, oldest.rev)
         self.contents.append(content)
         for item in live:
@@ -133,6 +139,7 @@
     def rows(self) -> list[tuple[str, int, dict[str, Any]]]:
         """Key, guard revision and value of each slot to write."""
         seq = self.records.seq + 1
+        total = len(self.records.slots) + self.new_slots
         return [
             (
                 f"{self.records.prefix}{content.number}",
@@ -141,6 +148,7 @@
                     "layout": c.LAYOUT,
                     "seq": seq,
                     "slots": len(self.contents),
+                    "total": total,
                     "items": content.items,
                 },
             )
@@ -157,6 +165,7 @@
         self.sizes: dict[str, int] = {}
         self.slot_of: dict[str, Slot] = {}
         self.bytes = 0
+        self.overwritten_early: list[int] = []  # see `load`
 
     def __contains__(self, item: str) -> bool:
         return item in self.values
@@ -167,21 +176,21 @@
         return count < c.SLOTS_MIN or count * self.slot_bytes < c.SLOTS_SPARE_FACTOR * self.bytes
 
     def load(self, rows: list[tuple[str, Any, int]]) -> None:
-        """Load all slots; CorruptRecords if transactions are missing from their sequence."""
-        found: dict[int, int] = {}
+        """Load all slots; CorruptRecords if a slot is missing or has another layout.
+
+        Earlier builds sometimes overwrote slots out of order. Their transactions copied the live
+        items over all the same, so the newest copy of each item is still there, and the records
+        are read. Only a tombstone may be lost, and a removed item be back: a machine that is gone
+        (returned as silent) or progress of a job that is over (ignored). The sequence numbers of
+        the transactions concerned are in `overwritten_early`.
+        """
         for key, value, _ in rows:
             if not key.startswith(self.prefix) or value.get("layout") != c.LAYOUT:
                 raise CorruptRecords(f"{key} has a layout other than {c.LAYOUT}")
-            found[value["seq"]] = found.get(value["seq"], 0) + 1
         ordered = sorted(rows, key=lambda row: row[1]["seq"])
         if ordered:
-            first, last = ordered[0][1]["seq"], ordered[-1][1]["seq"]
-            expected = {value["seq"]: value["slots"] for _, value, _ in ordered}
-            for seq in range(first, last + 1):
-                # Only the oldest transaction may have had some of its slots overwritten since.
-                if seq not in found or (seq > first and found[seq] != expected[seq]):
-                    raise CorruptRecords(f"transaction {seq} of {first} to {last} is incomplete")
-            self.seq = last
+            self.overwritten_early = _check_sequence([value for _, value, _ in ordered])
+            self.seq = ordered[-1][1]["seq"]
         for key, value, rev in ordered:
             slot = Slot(int(key[len(self.prefix) :]), value["seq"], rev)
             self.slots[slot.number] = slot
@@ -219,3 +228,22 @@
         slot.live.add(item)
         self.values[item], self.sizes[item] = value, size
         self.bytes += size
+
+
+def _check_sequence(slots: list[dict[str, Any]]) -> list[int]:
+    """Check that no slot is missing; returns the transactions that lost slots out of order.
+
+    `slots` are the stored slots, ordered by sequence number. Raises CorruptRecords if the newest
+    transaction is incomplete or states another number of slots than there are.
+    """
+    found = Counter(value["seq"] for value in slots)
+    written = {value["seq"]: value["slots"] for value in slots}
+    newest = slots[-1]
+    first, last = slots[0]["seq"], newest["seq"]
+    if found[last] != written[last]:
+        raise CorruptRecords(f"the newest transaction {last} is incomplete")
+    # Slots written by earlier builds do not state their total number.
+    if newest.get("total", len(slots)) != len(slots):
+        raise CorruptRecords(f"{len(slots)} of {newest['total']} slots are there")
+    # Only the oldest transaction may have had some of its slots overwritten since.
+    return [seq for seq in range(first + 1, last) if found[seq] != written.get(seq)]
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -421,6 +421,24 @@
     assert not owner.leading and owner.no_lead_before == c.UNREADABLE_RETRY_S
 
 
+@pytest.mark.parametrize("names", [("n-1", "n-2"), ("n-2", "n-1")])
+def test_a_machine_that_is_back_in_the_records_takes_no_task_from_the_one_that_runs_it(names):
+    """Guards against a second start of a task after the end of its older, resurrected attempt."""
+    owner = o.Owner(node_settings("a", [{"name": "blue"}]), Tuning(), lambda: 0.0, lambda: 0.0)
+    record = {"spec": msgspec.to_builtins(spec("j-1")), "at": 0.0}
+    owner.process_batch([cm.InboxRows([(sk.JOB + "j-1", record, 2)])])
+    numbers = {"n-1": 1, "n-2": 2}
+    items = {
+        sk.MACHINE + name: ["a", "x", "m8", "a", False, 1, {"j-1": [[numbers[name], [0, 1]]]}]
+        for name in names
+    }
+    state = restored(slot(items), owner.inbox)
+    job = state.jobs["j-1"]
+    assert job.placed[0].machine == "n-2" and job.attempts == 2
+    state.end_all_attempts(state.machines["n-1"], "the machine was returned")
+    assert job.placed[0].machine == "n-2" and not job.may_be_placed(0)
+
+
 def test_malformed_batch_is_rejected():
     intake = SimpleNamespace(owner=SimpleNamespace(leading=1), may_renew=lambda: True)
     for body in (b"", {}, {"boot": "x", "reports": 7}, {"boot": "x", "reports": [], "seen": 7}):
