Records larger than a value are divided, and a refusal for size is no conflict

Cause: 200 one-task jobs with long ids on a machine exceed the state service's value limit. Its 400 was taken for a changed record: the leader gave the lead up, took it again and sent the same transaction, for ever.

Change: a machine's attempts are divided among records that fit; what is written fits the smaller of today's and the next limits; a refused transaction is built anew half as large, without giving the lead up; slots of larger limits are copied over in parts; tombstones open no more slots than the transaction has changes.

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -65,6 +65,7 @@
 
 # --- records ---------------------------------------------------------------------------
 LAYOUT = 2  # version of the leader's records; 1 had one key per machine and job
+LAYOUT_PAGES = 3  # of slots with further pages of a machine, which builds for 2 must not ignore
 SLOTS_MIN = 16  # minimum number of slots; more than one transaction ever writes
 # Multiple of the live bytes: overwriting the oldest slot then copies over a third.
 SLOTS_SPARE_FACTOR = 3
@@ -73,7 +74,12 @@
 SLOTS_PER_TXN = 6  # slots that one transaction writes at most; their bytes stay under TXN_BYTES
 UNREADABLE_RETRY_S = 5.0  # s before a node whose records could not be decoded tries to lead again
 CHUNK_TASKS = 512  # tasks per progress item; 128 characters as a bitmap
-MACHINE_PLACEMENTS = 200  # placements in one machine's record, which keeps it under 8 KiB
+MACHINE_PLACEMENTS = 200  # placements on one machine
+VALUE_BYTES_MIN = 512  # bytes of a value that are never reduced further after refusals
+TXN_OPS_MIN = 4  # changes in a transaction: a slot and the final records of a job
+LIMIT_SHARE_MIN = 1 / 16  # of the configured limits, after several refusals
+LIMIT_RAISE_S = 60.0  # s after a refusal before larger writes are tried again
+REFUSED_RETRY_S = 5.0  # s between transactions while the smallest ones are refused
 TERMINAL_CACHE = 20_000  # jobs whose final state a node remembers without a read
 REMOVED_JOBS_KEPT = 2_000  # removed jobs that are remembered, to ignore late changes from the watch
 GONE_MACHINES_KEPT = 5_000  # machines proven gone that are remembered, to ignore their late reports
--- a/coveflow/core/model.py
+++ b/coveflow/core/model.py
@@ -167,6 +167,7 @@
     stopping: bool = False
     grace_s: float = 0.0
     overrun: int = 0
+    page: int = 0  # of the machine's records that holds it
 
     @property
     def key(self) -> tuple[str, int, int]:
@@ -324,6 +325,7 @@
     images: OrderedDict[str, float] = msgspec.field(default_factory=OrderedDict)
     slowdown: float = 1.0
     slowdown_samples: int = 0
+    pages: int = 0  # further records of its attempts; see `machine_pages`
 
     def __post_init__(self) -> None:
         self.cpus = self.flavor.cpus
@@ -365,16 +367,9 @@
         """Session and counter of the newest report; older reports prove nothing."""
         return (self.tenure, self.counter)
 
-    def record(self) -> list[Any]:
-        """Return the stored record: the owning node and the attempts that may be running."""
-        jobs: dict[str, dict[int, list[int]]] = {}
-        for p in self.placements.values():
-            jobs.setdefault(p.job, {}).setdefault(p.number, []).append(p.task)
+    def record(self, tasks: dict[str, list[list[Any]]]) -> list[Any]:
+        """Return the stored record: the owning node and encoded attempts that may be running."""
         tenure = min((p.tenure for p in self.placements.values()), default=self.tenure)
-        tasks = {
-            job: [[number, encode_ranges(tasks)] for number, tasks in numbers.items()]
-            for job, numbers in jobs.items()
-        }
         row = [self.owner, self.address, self.flavor.name, self.zone, self.spot, tenure, tasks]
         return [*row, True] if self.drained else row
 
--- a/coveflow/daemon/commands.py
+++ b/coveflow/daemon/commands.py
@@ -138,6 +138,7 @@
     txn: Txn
     rev: int | None
     conflict: list[str] | None = None
+    refused: bool = False  # for its size; nothing was written
 
 
 class CloudList(msgspec.Struct, eq=False):
--- a/coveflow/daemon/commits.py
+++ b/coveflow/daemon/commits.py
@@ -9,12 +9,13 @@
 from typing import Any
 
 from coveflow import constants as c
+from coveflow.core.machine_pages import machine_record, page_records
 from coveflow.core.model import Job, Machine, encode_ranges
 from coveflow.daemon.commands import AttemptEnd, CommitResult, HeldTasksDecision, Txn
 from coveflow.daemon.context import NodeContext
 from coveflow.daemon.inbox import Inbox
 from coveflow.daemon.leader_state import LeaderState
-from coveflow.logs import Log
+from coveflow.logs import Log, LogThrottle
 from coveflow.state.keys import (
     ATTEMPT_FLOOR,
     CHUNK,
@@ -24,9 +25,12 @@
     JOB,
     MACHINE,
     VIEW,
+    page_item,
 )
 from coveflow.state.records import Draft, encoded_size
 
+MACHINE_ITEM_FRAME_BYTES = 16  # bytes of an item's key beside the machine's name
+
 log = Log("coveflow.owner")
 
 
@@ -40,7 +44,9 @@
     ) -> None:
         self.context, self.inbox, self.state = context, inbox, state
         self.step_down = step_down
-        self.params = context.settings.params
+        self.limits = context.write_limits
+        self.too_large_log = LogThrottle()
+        self.refused_log = LogThrottle()
         self.in_flight: Txn | None = None
         self.next_commit = 0.0
         self.history_rev = 0
@@ -52,6 +58,8 @@
     def tick(self, now: float) -> None:
         if self.state.predictor.changed and now - self.history_at > c.HISTORY_WRITE_S:
             self.history_at, self.history_due = now, True
+        if self.limits.raise_after_refusal(now):
+            self.state.apply_write_limits()
 
     def send_due(self, now: float) -> None:
         """Send the next transaction if none is in flight and something changed."""
@@ -71,14 +79,15 @@
         A machine's record drops an attempt only together with, or after, the job's record of its
         end; otherwise a new leader could lose a done task or reuse an attempt number.
         """
-        limit = self.params.state.txn_ops
+        limit = self.limits.txn_ops
         txn = Txn({VIEW: self.state.rev}, {})
         # At least half of the operations and bytes are reserved for jobs that end.
         slots = max(1, min(c.SLOTS_PER_TXN, limit // 2))
-        draft = txn.draft = self.state.records.draft(slots, c.TXN_BYTES)
+        draft = txn.draft = self.state.records.draft(slots, self.limits.txn_bytes)
         finish: list[Job] = []
-        if self._add_jobs(txn, draft, finish):
-            self._add_machines(txn, draft)
+        unwritable: set[str] = set()
+        if self._add_jobs(txn, draft, finish, unwritable):
+            self._add_machines(txn, draft, unwritable)
             self._add_finished(txn, draft, finish, limit)
         for key, rev, value in draft.rows():
             txn.guards[key] = rev
@@ -88,15 +97,18 @@
         return txn if txn.writes else None
 
     def _add_history(self, txn: Txn) -> None:
-        max_bytes = min(c.HISTORY_BYTES, int(self.params.state.value_kb * 1024 * 0.8))
+        max_bytes = min(c.HISTORY_BYTES, int(self.limits.value_bytes * 0.8))
         txn.guards[HISTORY] = self.history_rev
         txn.writes[HISTORY] = self.state.predictor.dump(max_bytes)
         txn.history = True
         self.history_due = False
         self.state.predictor.changed = False
 
-    def _add_jobs(self, txn: Txn, draft: Draft, finish: list[Job]) -> bool:
-        """Add the progress of jobs; False if not all of it fits, so no machine may be added."""
+    def _add_jobs(self, txn: Txn, draft: Draft, finish: list[Job], unwritable: set[str]) -> bool:
+        """Add the progress of jobs; False if not all of it fits, so no machine may be added.
+
+        Jobs with a record larger than any slot are left for later and added to `unwritable`.
+        """
         state = self.state
         for name in list(state.dirty_jobs):
             job = state.jobs.get(name)
@@ -108,14 +120,18 @@
                 if not state.unsettled.get(name):
                     continue  # all its ends are committed: the final record suffices
             chunks = state.dirty_chunks.get(name, set())
+            # Written before the machine's record drops the attempt: a new leader must also hold
+            # the task.
+            held_changed = name in state.dirty_held
+            if held_changed and not state.records.fits(HELD + name, held_value(job)):
+                self._log_too_large(HELD + name)
+                unwritable.add(name)
+                continue
             fits = (
                 not job.last_attempt_number
                 or state.records.values.get(ATTEMPT_FLOOR + name) == job.last_attempt_number
                 or draft.add(ATTEMPT_FLOOR + name, job.last_attempt_number)
-            ) and all(draft.add(f"{CHUNK}{name}/{i}", job.encode_chunk(i)) for i in sorted(chunks))
-            # Written before the machine's record drops the attempt: a new leader must also hold
-            # the task.
-            held_changed = name in state.dirty_held
+            ) and self._add_chunks(draft, job, sorted(chunks))
             if held_changed:
                 fits = fits and draft.add(HELD + name, held_value(job))
             if not fits:
@@ -130,7 +146,26 @@
             state.dirty_chunks.pop(name, None)
         return True
 
-    def _add_machines(self, txn: Txn, draft: Draft) -> None:
+    def _add_chunks(self, draft: Draft, job: Job, chunks: list[int]) -> bool:
+        """Add chunks of done tasks; those that an earlier, full transaction wrote are left out.
+
+        The last one is always written, as the job's progress counts once it is committed.
+        """
+        written = self.state.records.values
+        for index in chunks:
+            item, bitmap = f"{CHUNK}{job.id}/{index}", job.encode_chunk(index)
+            if written.get(item) == bitmap and index != chunks[-1]:
+                continue
+            if not draft.add(item, bitmap):
+                return False
+        return True
+
+    def _log_too_large(self, item: str) -> None:
+        count = self.too_large_log.due(self.context.clock())
+        if count:
+            log.error("a record is larger than the state service allows", item=item, count=count)
+
+    def _add_machines(self, txn: Txn, draft: Draft, unwritable: set[str]) -> None:
         state = self.state
         for name in list(state.dirty_machines):
             m = state.machines.get(name)
@@ -142,7 +177,9 @@
                 del state.dirty_machines[name]
                 self._forget_machine(m)
                 continue
-            if not draft.add(MACHINE + name, None if removing else m.record()):
+            if any(end.placement.job in unwritable for end in state.ends.get(name, ())):
+                continue
+            if not (_remove_machine(draft, m) if removing else self._add_machine(draft, m)):
                 break
             del state.dirty_machines[name]
             (txn.removed if removing else txn.machines).append(m)
@@ -150,6 +187,20 @@
             txn.placed += [p for p in m.placements.values() if not p.committed]
             txn.ends += [(m, end) for end in state.ends.pop(name, [])]
 
+    def _add_machine(self, draft: Draft, m: Machine) -> bool:
+        """Add the records of a machine; False if not all of them fit.
+
+        Each state in between is safe: an attempt is on a written page until its end is committed.
+        """
+        written = self.state.records
+        max_bytes = written.slot_bytes - len(page_item(m.id, 0)) - MACHINE_ITEM_FRAME_BYTES
+        pages = page_records(m, max_bytes)
+        for page in sorted(pages, reverse=True):
+            item = page_item(m.id, page)
+            if written.values.get(item) != pages[page] and not draft.add(item, pages[page]):
+                return False
+        return draft.add(page_item(m.id, 0), machine_record(m))
+
     def _add_finished(self, txn: Txn, draft: Draft, finish: list[Job], limit: int) -> None:
         riders = 0  # bytes of other interfaces' final records
         for job in finish:
@@ -169,6 +220,9 @@
             # starts.
             if self.state.unsettled.get(job.id) or job.awaits_cancel_record:
                 continue
+            # The tombstones may open further slots.
+            others = len(txn.writes) + 3 + bool(self.context.final_record_rows)
+            draft.most_slots = min(draft.most_slots, limit - others)
             if not all(draft.add(item, None) for item in _record_keys(job)):
                 break
             self._add_final_record(txn, job)
@@ -203,7 +257,9 @@
         if command.txn is not self.in_flight:
             return
         self.in_flight = None
-        if command.rev is None:
+        if command.refused:
+            self._refused(command.txn)
+        elif command.rev is None:
             self._conflict(command.txn, command.conflict or [])
         else:
             self._applied(command.txn, command.rev)
@@ -299,6 +355,22 @@
         self.context.effects("reread", failed)
         self.next_commit = self.context.clock() + c.RETRY_S
 
+    def _refused(self, txn: Txn) -> None:
+        """Handle a transaction that the state service rejects for its size: write less at once."""
+        now = self.context.clock()
+        at_minimum = self.limits.at_minimum
+        self.limits.refused(now)
+        self._requeue(txn)
+        self.state.apply_write_limits()
+        self.next_commit = now + (c.REFUSED_RETRY_S if at_minimum else c.RETRY_S)
+        self.context.meters.add("transactions refused for their size")
+        count = self.refused_log.due(now)
+        if count:
+            log.error(
+                "the state service refuses the size of transactions", count=count,
+                value_bytes=self.limits.value_bytes, txn_ops=self.limits.txn_ops,
+            )  # fmt: skip
+
     def _requeue(self, txn: Txn) -> None:
         """Mark everything in a failed transaction for another commit with newer revisions."""
         state = self.state
@@ -322,6 +394,11 @@
             state.predictor.changed = True
 
 
+def _remove_machine(draft: Draft, m: Machine) -> bool:
+    """Add the removal of all records of a machine; its own goes last."""
+    return all(draft.add(page_item(m.id, page), None) for page in range(m.pages, -1, -1))
+
+
 def final_record(job: Job, status: str) -> dict[str, Any]:
     """The permanent record of a job that is over."""
     record: dict[str, Any] = {"status": status, "done": len(job.done)}
--- a/coveflow/daemon/context.py
+++ b/coveflow/daemon/context.py
@@ -13,6 +13,7 @@
 from coveflow.daemon.tracing import Tracer
 from coveflow.net.meters import Meters
 from coveflow.settings import Settings, Tuning
+from coveflow.state.write_limits import WriteLimits
 
 
 class NodeContext(msgspec.Struct, eq=False):
@@ -23,6 +24,7 @@
     clock: Callable[[], float]  # s, monotonic
     wall: Callable[[], float]  # s, time of day
     meters: Meters
+    write_limits: WriteLimits
     effects: Callable[[str, Any], None] = lambda kind, data: None
     # (machine, within_s, newest): whether another node received a report of the machine that is
     # newer than `newest` within the last `within_s` seconds.
--- a/coveflow/daemon/leader_state.py
+++ b/coveflow/daemon/leader_state.py
@@ -26,7 +26,7 @@
 )
 from coveflow.daemon.context import NodeContext
 from coveflow.logs import Log
-from coveflow.state.keys import SLOT
+from coveflow.state.keys import SLOT, machine_of_item
 from coveflow.state.records import Records
 
 log = Log("coveflow.owner")
@@ -38,7 +38,8 @@
 class LeaderState:
     def __init__(self, context: NodeContext) -> None:
         self.context = context
-        params, tuning = context.settings.params, context.tuning
+        self.limits, tuning = context.write_limits, context.tuning
+        params = context.settings.params
         self.report_timeout_s = (
             3 * params.workers.report_s + 1.0
         )  # s; tolerates several lost reports
@@ -55,7 +56,7 @@
         self.fleet = fleet.Fleet()
         self.predictor = Predictor(tuning.estimators, tuning.decay, tuning.recent)
         # Changes waiting to be committed.
-        self.records = Records(SLOT, int(params.state.value_kb * 1024 * c.SLOT_FILL_SHARE))
+        self.records = Records(SLOT, self.limits.item_bytes)
         self.unsettled: dict[str, int] = {}
         self.ends: dict[str, list[AttemptEnd]] = {}
         self.dirty_jobs: dict[str, None] = {}
@@ -86,6 +87,14 @@
         if trace is not None and self.leading:
             trace.emit(self.leading, kind, fields)
 
+    def apply_write_limits(self) -> None:
+        """Lay out the records by the limits of this moment; larger ones are written again."""
+        self.records.slot_bytes = min(self.limits.item_bytes, self.limits.txn_bytes)
+        for item in self.records.larger_than_a_slot():
+            machine = machine_of_item(item)
+            if machine is not None and machine in self.machines:
+                self.dirty_machines[machine] = None
+
     # --- jobs and attempts -------------------------------------------------------------
 
     def apply_accepted(self, entry: AcceptedJob) -> None:
--- a/coveflow/daemon/mailbox.py
+++ b/coveflow/daemon/mailbox.py
@@ -79,7 +79,7 @@
     ) -> None:
         """`boot` identifies this process; `contacts` holds the machines that it keeps alive."""
         self.key = MAIL + settings.name
-        value_bytes = settings.params.state.value_kb * 1024
+        value_bytes = settings.params.state.max_value_kb * 1024
         self.max_bytes = int(value_bytes * c.MAIL_FILL_SHARE)  # bytes
         self.max_report_bytes = int(
             value_bytes * c.MAIL_SINGLE_FILL_SHARE
@@ -193,7 +193,7 @@
         unreadable: MalformedInputLog,
     ) -> None:
         self.max_bytes = int(
-            settings.params.state.value_kb * 1024 * c.MAIL_REPLY_FILL_SHARE
+            settings.params.state.max_value_kb * 1024 * c.MAIL_REPLY_FILL_SHARE
         )  # bytes
         self.owner, self.store = owner, store
         self.intake, self.unreadable = intake, unreadable
--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -33,7 +33,7 @@
 from coveflow.net.machines import MachineClient
 from coveflow.settings import Settings, Tuning, parse_address
 from coveflow.state import keys as sk
-from coveflow.state.store import Conflict, Store
+from coveflow.state.store import Conflict, Refused, Store
 
 log = Log("coveflow.node")
 
@@ -276,9 +276,9 @@
             self.owner.put(cm.CommitResult(txn, rev))
         except Conflict as conflict:
             self.owner.put(cm.CommitResult(txn, None, conflict.failed))
-        except ValueError:
-            log.exception("transaction refused")
-            self.owner.put(cm.CommitResult(txn, None, ["refused"]))
+        except Refused as refusal:
+            self.owner.put(cm.CommitResult(txn, None, refused=True))
+            log.warning("transaction refused", changes=len(txn.writes), why=refusal)
 
     async def _still_leading(self) -> bool:
         """Check with a guarded commit that this node still leads by the store's current view.
--- a/coveflow/daemon/owner.py
+++ b/coveflow/daemon/owner.py
@@ -54,6 +54,7 @@
 from coveflow.settings import Settings, Tuning
 from coveflow.state.keys import View
 from coveflow.state.records import CorruptRecords
+from coveflow.state.write_limits import WriteLimits
 
 log = Log("coveflow.owner")
 
@@ -66,7 +67,8 @@
         clock: Callable[[], float],
         wall: Callable[[], float],
     ) -> None:
-        self.context = NodeContext(settings, tuning, clock, wall, Meters())
+        limits = WriteLimits(settings.params.state)
+        self.context = NodeContext(settings, tuning, clock, wall, Meters(), limits)
         self.queue: asyncio.Queue[Command] = asyncio.Queue()
         workers = settings.params.workers
         self.cancellations = Cancellations(
--- a/coveflow/daemon/restore.py
+++ b/coveflow/daemon/restore.py
@@ -8,7 +8,7 @@
 from coveflow.daemon.inbox import Inbox
 from coveflow.daemon.leader_state import LeaderState
 from coveflow.logs import Log
-from coveflow.state.keys import ATTEMPT_FLOOR, CHUNK, HELD, HISTORY, MACHINE
+from coveflow.state.keys import ATTEMPT_FLOOR, CHUNK, HELD, HISTORY, MACHINE, PAGE
 from coveflow.state.records import CorruptRecords
 
 log = Log("coveflow.owner")
@@ -43,9 +43,12 @@
     for item, value in state.records.values.items():
         _restore_progress(state, item, value)
     # After all jobs, as a machine may have attempts of any of them.
+    pages = _further_pages(state)
     for item, value in state.records.values.items():
         if item.startswith(MACHINE):
-            _restore_machine(state, inbox, item[len(MACHINE) :], value, now)
+            name = item[len(MACHINE) :]
+            _restore_machine(state, inbox, name, value, pages.get(name, {}), now)
+    state.apply_write_limits()
     for job in state.jobs.values():
         _finalize_restored_job(state, job)
     _stop_cancelled(state)
@@ -116,7 +119,12 @@
 
 
 def _restore_machine(
-    state: LeaderState, inbox: Inbox, name: str, value: list[Any], now: float
+    state: LeaderState,
+    inbox: Inbox,
+    name: str,
+    value: list[Any],
+    pages: dict[int, Any],
+    now: float,
 ) -> None:
     owner, address, kind, zone, spot, tenure, tasks, *drained = value
     flavor = inbox.flavors.get(kind)
@@ -128,15 +136,37 @@
     m.up = True
     m.drained = m.draining = bool(drained)
     state.machines[name] = m
+    m.pages = max(pages, default=0)
+    for page in sorted(pages, reverse=True):  # as a page gives attempts to later ones
+        _restore_attempts(state, m, page, pages[page], now)
+    _restore_attempts(state, m, 0, tasks, now)
+
+
+def _further_pages(state: LeaderState) -> dict[str, dict[int, Any]]:
+    """The further pages of machines' attempts, by machine and page number."""
+    found: dict[str, dict[int, Any]] = {}
+    for item, value in state.records.values.items():
+        if item.startswith(PAGE):
+            machine, page = item[len(PAGE) :].rsplit("/", 1)
+            found.setdefault(machine, {})[int(page)] = value
+    return found
+
+
+def _restore_attempts(
+    state: LeaderState, m: Machine, page: int, tasks: dict[str, Any], now: float
+) -> None:
+    """Restore the attempts of one page of a machine's records."""
     for job_id, rows in tasks.items():
         job = state.jobs.get(job_id)
         if job is None:
-            log.error("machine record names a finished job", machine=name, job=job_id)
+            log.error("machine record names a finished job", machine=m.id, job=job_id)
             continue
         for number, flat in rows:
             for task in decode_ranges(flat):
-                p = Placement(job_id, task, number, name, m.tenure, committed=True, placed_at=now)
-                p.restored = True
+                if (job_id, task, number) in m.placements:
+                    continue  # it was being moved between pages
+                p = Placement(job_id, task, number, m.id, m.tenure, committed=True, placed_at=now)
+                p.restored, p.page = True, page
                 m.placements[p.key] = p
                 m.allocate(job.spec)
                 job.attempts += 1
--- a/coveflow/daemon/submissions.py
+++ b/coveflow/daemon/submissions.py
@@ -15,7 +15,7 @@
 from coveflow.net.http import Unavailable
 from coveflow.net.meters import Meters
 from coveflow.state import keys as sk
-from coveflow.state.store import Conflict, Store
+from coveflow.state.store import Conflict, Refused, Store
 
 log = Log("coveflow.front")
 
@@ -54,6 +54,7 @@
         self.store, self.txn_ops, self.clock, self.meters = store, txn_ops, clock, meters
         self.waiting: admission.FairQueue[Submission] = admission.FairQueue()
         self.writer: asyncio.Task[None] | None = None
+        self.batch_max = c.SUBMIT_BATCH_MAX  # smaller after a batch was refused for its size
 
     async def write(self, job: str, record: Any, flow: admission.Flow) -> int | None:
         """Write the job's record in a batch with others; None if the job exists already.
@@ -87,7 +88,7 @@
         """
         changes = self.store.changes
         size = max(int(changes.refill()), int(changes.rate * c.SUBMIT_BATCH_S), 1)
-        return min(size, self.txn_ops, c.SUBMIT_BATCH_MAX)
+        return min(size, self.txn_ops, self.batch_max)
 
     async def _write_batch(self, batch: list[Submission], records: dict[str, Any]) -> None:
         guards = {sk.JOB + job: 0 for job in records} | {
@@ -100,6 +101,8 @@
             )
         except Conflict as conflict:
             self._settle_known(batch, {key.rsplit("/", 1)[1] for key in conflict.failed})
+        except Refused as refusal:
+            self._divide(batch, refusal)
         except Exception as error:
             failure = error if isinstance(error, Unavailable) else Unavailable(str(error))
             if failure is not error:
@@ -107,9 +110,21 @@
             for submission in batch:
                 submission.fail(failure)
         else:
+            if len(batch) >= self.batch_max:
+                self.batch_max = min(c.SUBMIT_BATCH_MAX, 2 * self.batch_max)
             for submission in batch:
                 submission.settle(revision)
 
+    def _divide(self, batch: list[Submission], refusal: Refused) -> None:
+        """Write a batch that was refused for its size in smaller ones; fail a single submission."""
+        log.warning("submissions refused", count=len(batch), why=refusal)
+        if len(batch) == 1:
+            batch[0].fail(Unavailable(str(refusal)))
+            return
+        self.batch_max = max(1, len(batch) // 2)
+        for submission in batch:
+            self.waiting.add(("", ""), submission)
+
     def _settle_known(self, batch: list[Submission], known: set[str]) -> None:
         """Settle submissions of jobs that exist; requeue the others, which did not conflict."""
         for submission in batch:
--- a/coveflow/daemon/user_api.py
+++ b/coveflow/daemon/user_api.py
@@ -43,7 +43,7 @@
         self.clock, self.handle_report = clock, handle_report
         self.teams = {team.name: team for team in settings.params.teams}
         self.jobs = UserJobs(
-            owner, store, settings.params.state.txn_ops, clock, wall,
+            owner, store, settings.params.state.max_txn_ops, clock, wall,
             lambda spec: self.refusal(spec),
         )  # fmt: skip
         # Handlers of other interfaces by path prefix.
--- a/coveflow/settings.py
+++ b/coveflow/settings.py
@@ -58,11 +58,30 @@
     cancel_s: Positive
 
 
+class StateLimits(msgspec.Struct, frozen=True):
+    """Limits that the state service will have later; None: as today."""
+
+    write_rps: Positive | None = None  # changes a second
+    value_kb: Positive | None = None  # KiB of a value's JSON
+    txn_ops: Annotated[int, msgspec.Meta(ge=4)] | None = None  # changes in a transaction
+
+
 class State(msgspec.Struct, frozen=True):
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Annotated[int, msgspec.Meta(ge=4)]
+    next: StateLimits = StateLimits()  # in force from some moment on, without notice
+
+    @property
+    def max_value_kb(self) -> float:
+        """KiB of a value that today's and the next limits both allow."""
+        return min(self.value_kb, self.next.value_kb or self.value_kb)
+
+    @property
+    def max_txn_ops(self) -> int:
+        """Changes in a transaction that today's and the next limits both allow."""
+        return min(self.txn_ops, self.next.txn_ops or self.txn_ops)
 
 
 class Cloud(msgspec.Struct, frozen=True):
--- a/coveflow/state/keys.py
+++ b/coveflow/state/keys.py
@@ -22,6 +22,19 @@
 CHUNK = "d/"  # a job's completed tasks, by chunk
 HELD = "h/"  # a job's tasks that await an operator's decision or have been abandoned
 MACHINE = "m/"  # a machine and the attempts that may be running on it
+PAGE = "p/"  # further attempts on a machine, by page number
+
+
+def page_item(machine: str, page: int) -> str:
+    """The item of a machine's attempts on a page; page 0 is in the machine's own item."""
+    return f"{PAGE}{machine}/{page}" if page else MACHINE + machine
+
+
+def machine_of_item(item: str) -> str | None:
+    """The machine whose attempts the item holds; None for an item of a job."""
+    if item.startswith(MACHINE):
+        return item[len(MACHINE) :]
+    return item[len(PAGE) :].rsplit("/", 1)[0] if item.startswith(PAGE) else None
 
 
 class View(msgspec.Struct, eq=False):
--- a/coveflow/state/records.py
+++ b/coveflow/state/records.py
@@ -19,6 +19,9 @@
 import msgspec
 
 from coveflow import constants as c
+from coveflow.state.keys import PAGE
+
+LAYOUTS = (c.LAYOUT, c.LAYOUT_PAGES)  # that this build reads
 
 _json = msgspec.json.Encoder()
 
@@ -56,7 +59,7 @@
 
     def __init__(self, records: Records, most_slots: int, most_bytes: int) -> None:
         self.records = records
-        self.most_slots, self.bytes_left = most_slots, most_bytes
+        self.most_slots, self.most_bytes, self.bytes_left = most_slots, most_bytes, most_bytes
         self.contents: list[SlotContent] = []
         self.content_of: dict[str, SlotContent] = {}
         self.sizes: dict[str, int] = {}
@@ -65,7 +68,10 @@
         self.new_slots = 0
 
     def add(self, item: str, value: Any) -> bool:
-        """Add a write of the item (None removes it); False when the transaction is full."""
+        """Add a write of the item (None removes it); False when the transaction is full.
+
+        An item that `Records.fits` rejects is never added.
+        """
         records = self.records
         if value is None and item not in records.values and item not in self.content_of:
             return True  # no copy exists that a tombstone would have to hide
@@ -87,11 +93,11 @@
         return growth <= self.bytes_left and content.size + growth <= self.records.slot_bytes
 
     def _content_with_space(self, size: int) -> SlotContent | None:
+        if size > self.records.slot_bytes:
+            return None
         while not self.contents or self.contents[-1].size + size > self.records.slot_bytes:
             if size > self.bytes_left or not self._open_slot():
                 return None
-            if not self.contents[-1].items:
-                break
         return self.contents[-1] if size <= self.bytes_left else None
 
     def _remove(self, item: str) -> None:
@@ -111,15 +117,17 @@
         if len(self.contents) >= self.most_slots:
             return False
         if records.needs_new_slot(self.new_slots):
-            number = len(records.slots) + self.new_slots
-            self.new_slots += 1
-            self.contents.append(SlotContent(number, 0))
+            self._append_slot()
             return True
         oldest = self.oldest
         if oldest is None:
             return False
         live = [item for item in oldest.live if item not in self.content_of]
         live_bytes = sum(records.sizes[item] for item in live)
+        if live_bytes > min(records.slot_bytes, self.most_bytes):
+            # It was written under larger limits, so no transaction can copy it over at once.
+            self._move_some(live, self._append_slot())
+            return True
         if live_bytes > self.bytes_left:
             return False
         self.oldest = next(self.oldest_slots, None)
@@ -129,6 +137,21 @@
             self._put(content, item, records.values[item], records.sizes[item])
         return True
 
+    def _append_slot(self) -> SlotContent:
+        content = SlotContent(len(self.records.slots) + self.new_slots, 0)
+        self.new_slots += 1
+        self.contents.append(content)
+        return content
+
+    def _move_some(self, live: list[str], content: SlotContent) -> None:
+        """Copy some of the oldest slot's items to a new one, with space left for other items."""
+        records = self.records
+        for item in live:
+            size = records.sizes[item]
+            space = records.slot_bytes if not content.items else records.slot_bytes // 2
+            if content.size + size <= space and size <= self.bytes_left:
+                self._put(content, item, records.values[item], size)
+
     def _put(self, content: SlotContent, item: str, value: Any, size: int) -> None:
         content.items[item] = value
         content.size += size
@@ -145,7 +168,7 @@
                 f"{self.records.prefix}{content.number}",
                 content.rev,
                 {
-                    "layout": c.LAYOUT,
+                    "layout": _layout(content.items),
                     "seq": seq,
                     "slots": len(self.contents),
                     "total": total,
@@ -170,6 +193,14 @@
     def __contains__(self, item: str) -> bool:
         return item in self.values
 
+    def fits(self, item: str, value: Any) -> bool:
+        """Whether a slot can hold the item."""
+        return encoded_size(item, value) <= self.slot_bytes
+
+    def larger_than_a_slot(self) -> list[str]:
+        """The items that were written under larger limits than today's."""
+        return [item for item, size in self.sizes.items() if size > self.slot_bytes]
+
     def needs_new_slot(self, new_slots: int) -> bool:
         """Whether there are too few slots for overwriting the oldest one to free much space."""
         count = len(self.slots) + new_slots
@@ -185,8 +216,8 @@
         the transactions concerned are in `overwritten_early`.
         """
         for key, value, _ in rows:
-            if not key.startswith(self.prefix) or value.get("layout") != c.LAYOUT:
-                raise CorruptRecords(f"{key} has a layout other than {c.LAYOUT}")
+            if not key.startswith(self.prefix) or value.get("layout") not in LAYOUTS:
+                raise CorruptRecords(f"{key} has a layout other than {LAYOUTS}")
         ordered = sorted(rows, key=lambda row: row[1]["seq"])
         if ordered:
             self.overwritten_early = _check_sequence([value for _, value, _ in ordered])
@@ -230,6 +261,11 @@
         self.bytes += size
 
 
+def _layout(items: dict[str, Any]) -> int:
+    """The oldest layout whose readers understand all the items."""
+    return c.LAYOUT_PAGES if any(item.startswith(PAGE) for item in items) else c.LAYOUT
+
+
 def _check_sequence(slots: list[dict[str, Any]]) -> list[int]:
     """Check that no slot is missing; returns the transactions that lost slots out of order.
 
--- a/coveflow/state/store.py
+++ b/coveflow/state/store.py
@@ -14,9 +14,16 @@
 from coveflow.net.meters import Meters
 from coveflow.settings import State
 from coveflow.state.hedged import HedgedCommit
-from coveflow.state.transactions import AppliedCheck, Conflict, LeaseExpired, Outcome, Transaction
+from coveflow.state.transactions import (
+    AppliedCheck,
+    Conflict,
+    LeaseExpired,
+    Outcome,
+    Refused,
+    Transaction,
+)
 
-__all__ = ["Conflict", "LeaseExpired", "RevisionCompacted", "Store"]
+__all__ = ["Conflict", "LeaseExpired", "Refused", "RevisionCompacted", "Store"]
 
 
 T = TypeVar("T")
@@ -50,6 +57,7 @@
         self.requests = TokenBucket(1.0, clock)
         self.changes = TokenBucket(1.0, clock)
         self.hedge_budget = TokenBucket(1.0, clock)  # writes in hedged copies of commits
+        self.write_rps = limits.write_rps  # changes a second of all nodes
         self.refused_at = -1e9
         self.contact_at = -1e9  # send time of the newest request that was answered
         self.set_leading(False)
@@ -60,9 +68,20 @@
         share = c.LEADER_SHARE if leading else (1.0 - c.LEADER_SHARE) / others
         if self.nodes == 1:
             share = 1.0
+        self.share = share
         self.requests.set_rate(self.limits.rps * share)
-        self.changes.set_rate(self.limits.write_rps * share)
-        self.hedge_budget.set_rate(self.limits.write_rps * share * c.COMMIT_HEDGE_SHARE)
+        self._set_write_rate()
+
+    def _set_write_rate(self) -> None:
+        self.changes.set_rate(self.write_rps * self.share)
+        self.hedge_budget.set_rate(self.write_rps * self.share * c.COMMIT_HEDGE_SHARE)
+
+    def _follow_next_rate(self) -> None:
+        """After a refusal for the rate: the next limit, if there is one, may be in force."""
+        lower = self.limits.next.write_rps
+        if lower is not None and lower < self.write_rps:
+            self.write_rps = lower
+            self._set_write_rate()
 
     def pace_s(self, least_s: float, part: float) -> float:
         """Seconds between two requests of a kind, at least `least_s`.
@@ -96,6 +115,8 @@
         if status == 429 or status >= 500:
             self.refused_at = self.clock()
             self.meters.add(f"store answered {status}")
+            if status == 429:
+                self._follow_next_rate()
             # Only these two statuses guarantee that nothing was executed.
             error_type = Unavailable if status in (429, 503) else UnknownOutcome
             raise error_type(f"state service: {status}")
@@ -169,8 +190,8 @@
             raise Conflict(_decode(wire.read_conflict, body))
         if status == 400 and lease is not None:
             raise LeaseExpired
-        # The service would reject a malformed transaction every time: a bug, not an outage.
-        raise ValueError(f"commit: {status} {body[:200]!r}")
+        # The service rejects the same transaction every time: it must be changed or given up.
+        raise Refused(f"commit: {status} {body[:200]!r}")
 
     async def commit_with_retry(
         self,
@@ -185,7 +206,8 @@
         Every written key must be guarded by its revision. So the transaction applies at most once,
         a copy that arrives late fails, and it can be retried unchanged until it applies or a guard
         fails; an earlier copy of it may have caused that failure. After the deadline, Unavailable
-        (certainly not applied) or UnknownOutcome is raised; LeaseExpired if the lease has expired.
+        (certainly not applied) or UnknownOutcome is raised; LeaseExpired if the lease has expired;
+        Refused if the service rejects what the transaction holds, as it does each time.
         """
         missing = [key for key in writes if key not in guards]
         if missing:
@@ -204,6 +226,12 @@
                 if check.outcome is not Outcome.APPLIED:
                     raise
                 return check.revision
+            except Refused:
+                # The limits may have fallen after an earlier copy was applied.
+                check = await self._check_applied(transaction, deadline)
+                if check.outcome is not Outcome.APPLIED:
+                    raise
+                return check.revision
             except Unavailable as error:
                 may_be_applied = may_be_applied or isinstance(error, UnknownOutcome)
                 if deadline is not None and self.clock() + pause >= deadline:
--- a/coveflow/state/transactions.py
+++ b/coveflow/state/transactions.py
@@ -15,6 +15,10 @@
         self.failed = failed
 
 
+class Refused(ValueError):
+    """The service rejects what the transaction holds, e.g. for its size; nothing was written."""
+
+
 class LeaseExpired(Exception):
     """The lease to which a write is attached has expired."""
 
--- a/coveflow/tes/ledger.py
+++ b/coveflow/tes/ledger.py
@@ -90,7 +90,7 @@
         self.changes = BudgetShare(store.changes, tes.part, clock)
         # Paces reads of the index; unlike the shares above, it waits for tokens.
         self.read_bucket = TokenBucket(max(1.0, store.requests.rate * tes.part), clock)
-        self.page_bytes = int(settings.params.state.value_kb * 1024 * PAGE_FILL_SHARE)
+        self.page_bytes = int(settings.params.state.max_value_kb * 1024 * PAGE_FILL_SHARE)
         self.secret = b""
         self._reset()
 
--- a/coveflow/tes/service.py
+++ b/coveflow/tes/service.py
@@ -103,7 +103,7 @@
     ) -> None:
         self.settings, self.tes, self.owner, self.store = settings, tes, owner, store
         self.jobs, self.ledger, self.clock, self.wall = jobs, ledger, clock, wall
-        self.intake = TaskIntake(ledger, store, settings.params.state.txn_ops, clock, owner.put)
+        self.intake = TaskIntake(ledger, store, settings.params.state.max_txn_ops, clock, owner.put)
         self.cache = DocumentCache(CACHE_BYTES)
         self.storage = tes.storage
 
@@ -130,14 +130,14 @@
             task, name, client.team, self.settings.params.zones, self.tes.image_gb
         )
         raw = models.encode_document(task)
-        packed = documents.pack(raw, self.settings.params.state.value_kb, self.intake.parts_max)
+        packed = documents.pack(raw, self.settings.params.state.max_value_kb, self.intake.parts_max)
         if key is not None:
             # A known key is found_by_id up before the checks whose result may have changed since.
             known = await self._find_rider(name)
             if known is not None:
                 return self._require_same_task(name, known, packed, task)
         spec = self._require_feasible(spec)
-        gang_max = int(self.settings.params.state.value_kb * 1024 * 0.4 / RESULT_BYTES)
+        gang_max = int(self.settings.params.state.max_value_kb * 1024 * 0.4 / RESULT_BYTES)
         if spec.tasks > gang_max:
             raise RequestError(
                 f"resources.backend_parameters.gang_size is at most {gang_max} here: the record of"
@@ -209,7 +209,7 @@
 
     def _require_record_size(self, entry: ix.Entry, record: dict[str, Any]) -> None:
         """Raise RequestError if the index row or the job's record is too large for one value."""
-        limit = self.settings.params.state.value_kb * 1024 * 0.4
+        limit = self.settings.params.state.max_value_kb * 1024 * 0.4
         if len(msgspec.json.encode(ix.encode_rows([entry]))) > limit or (
             len(msgspec.json.encode(record)) > limit * 2
         ):
@@ -420,7 +420,7 @@
         is cancelled). The commit guards the accepted record, so a result never races with the final
         record.
         """
-        value_kb, parts_max = self.settings.params.state.value_kb, self.intake.parts_max - 2
+        value_kb, parts_max = self.settings.params.state.max_value_kb, self.intake.parts_max - 2
         job, task = result.job, result.task
         # The task's name in the log makes the document unique, so it is removed with its task.
         task_log = msgspec.json.decode(result.log, type=TaskLog)
--- a/coveflow/tes/start.py
+++ b/coveflow/tes/start.py
@@ -62,7 +62,7 @@
     )
     listener.load_certificate()
     collector = Collector(
-        ledger, node.store, node.owner, settings.params.state.txn_ops, tes.retention_h * 3600.0,
+        ledger, node.store, node.owner, settings.params.state.max_txn_ops, tes.retention_h * 3600.0,
         node.wall,
     )  # fmt: skip
     node.owner.context.final_record_rows = ledger.end_record_rows
--- a/coveflow/whatif/world.py
+++ b/coveflow/whatif/world.py
@@ -25,7 +25,7 @@
 from coveflow.lab.check import Checker
 from coveflow.lab.cloud import Cloud, Host
 from coveflow.lab.replies import Reply
-from coveflow.lab.store import ConditionFailed, RateLimit, Store
+from coveflow.lab.store import ConditionFailed, Malformed, RateLimit, Store
 from coveflow.lab.truth import INF, GroundTruth
 from coveflow.lab.worker import Attempt, Worker
 from coveflow.settings import Settings, Tuning
@@ -334,11 +334,17 @@
                 lambda: self.commit(name, owner, txn),
             )
             return
-        outcome = self.write(txn.writes, txn.guards)
+        outcome: int | list[str] | None
+        try:
+            outcome = self.write(txn.writes, txn.guards)
+        except Malformed:
+            outcome = None
 
         def settle() -> None:
             if self.owners.get(name) is owner:
-                if isinstance(outcome, int):
+                if outcome is None:
+                    owner.process_batch([cm.CommitResult(txn, None, refused=True)])
+                elif isinstance(outcome, int):
                     owner.process_batch([cm.CommitResult(txn, outcome)])
                     self._report_skipped(txn)
                 else:
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 from collections.abc import Callable
 from typing import Any
@@ -17,7 +18,7 @@
 from coveflow.daemon import commands as cm
 from coveflow.daemon import owner as o
 from coveflow.lab.cloud import BootTimes, Cloud
-from coveflow.lab.store import Store
+from coveflow.lab.store import Malformed, Store
 from coveflow.lab.truth import GroundTruth
 from coveflow.whatif import world as w
 from tests.samples import flavor
@@ -131,9 +132,13 @@
         if self.rng.random() < 0.1:
             guards, writes = dict(txn.guards), dict(txn.writes)
             # A duplicate arrives late and must have no effect.
-            self.at(2.0 + self.rng.random() * 5, lambda: self.write(writes, guards))
+            self.at(2.0 + self.rng.random() * 5, lambda: self._write_late(writes, guards))
         super().commit(name, owner, txn)
 
+    def _write_late(self, writes: dict[str, Any], guards: dict[str, int]) -> None:
+        with contextlib.suppress(Malformed):  # the store's limits may have fallen meanwhile
+            self.write(writes, guards)
+
     def deliver(self, link: w.WorkerLink, report: Report, sent: float, target: str) -> None:
         if self.now < self.duplicates_until and self.rng.random() < 0.3:
             node = self.rng.choice(self.names)
