--- a/coveflow/daemon/mailbox.py
+++ b/coveflow/daemon/mailbox.py
@@ -52,6 +52,7 @@
 
     boot: str  # the process whose mail it answers
     answers: dict[str, Answer]  # by machine
+    number: int | None = None  # of the mail that it answers; None: by an earlier build
 
 
 class PendingReport(msgspec.Struct, eq=False):
@@ -63,6 +64,7 @@
     future: asyncio.Future[bytes]
     has_end: bool  # it reports the end of a task
     written: bool = False  # it is in a mail, or too large for any
+    mail: int = 0  # number of that mail
 
 
 class Mailbox:
@@ -121,6 +123,10 @@
             entry = self.pending.get(machine)
             if entry is None or entry.future.done():
                 continue
+            # A machine that restarted in its session may use a counter twice, and a reply may be
+            # read again, e.g. when the watch begins anew.
+            if replies.number is not None and replies.number != entry.mail:
+                continue
             if (entry.report.tenure, entry.report.counter) == (answer.tenure, answer.counter):
                 entry.future.set_result(wire.pack(answer.orders))
 
@@ -150,7 +156,7 @@
                 if size > self.max_bytes and (mail.reports or mail.alive):
                     break
                 mail.reports[machine] = entry.row
-            entry.written = True
+            entry.written, entry.mail = True, self.number
         return mail
 
     def _machines_to_vouch_for(self) -> list[str]:
@@ -213,7 +219,7 @@
         if not tasks:
             return
         await asyncio.wait(tasks, timeout=c.MAIL_REPLY_INTERVAL_S)
-        replies = Replies(mail.boot, self._ready_answers(reports, tasks))
+        replies = Replies(mail.boot, self._ready_answers(reports, tasks), mail.number)
         try:
             await self.store.commit(
                 {VIEW: self.owner.state.rev}, {REPLY + member: msgspec.to_builtins(replies)}
--- a/coveflow/lab/stepwise_model.py
+++ b/coveflow/lab/stepwise_model.py
@@ -28,6 +28,7 @@
 from coveflow.lab.check import Checker
 from coveflow.lab.replies import Reply
 from coveflow.lab.store import ConditionFailed, Store
+from coveflow.lab.stored_attempts import stored_attempts
 from coveflow.lab.truth import GroundTruth
 from coveflow.lab.worker import Attempt, Limits, Worker
 from coveflow.membership.leadership import Membership
@@ -240,6 +241,11 @@
         rows, _ = self.store.list(prefix, "", 10**6)
         return [(key, copy.deepcopy(row.value), row.rev) for key, row in rows]
 
+    def _leader(self) -> str:
+        """The leader by the stored view."""
+        row = self.store.get(sk.VIEW)
+        return "" if row is None else row.value["leader"]
+
     def _write(self, writes: dict[str, Any], guards: dict[str, int] | None = None) -> int:
         return self.store.commit(guards or {}, {k: (v, None) for k, v in writes.items()}, 0.0)
 
@@ -362,6 +368,8 @@
             try:
                 call.outcome = self._write(cbor2.loads(args[1]), args[0])
                 self.old = (args[0], args[1])
+                if which == "txn" and self._leader() != name:
+                    raise RuleBroken(f"a commit of {name}, which does not lead", self.path)
             except ConditionFailed as failed:
                 call.outcome = Conflict(failed.keys)
 
@@ -519,6 +527,9 @@
             key = (worker.name, worker.tenure, order.job, order.task, order.number)
             if order.verb == "clear":
                 self.cleared.add(key)
+                attempt = (worker.name, order.job, order.task, order.number)
+                if attempt in stored_attempts(self._rows(sk.SLOT)):
+                    raise RuleBroken(f"clear before the commit of its end: {key}", self.path)
             elif order.verb == "run":
                 if key in self.cleared:
                     raise RuleBroken(f"run after clear: {key}", self.path)
--- /dev/null
+++ b/coveflow/lab/stored_attempts.py
@@ -0,0 +1,28 @@
+"""The attempts that the leader's stored records name, read as a new leader reads them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from coveflow.core.model import decode_ranges
+from coveflow.state.keys import MACHINE, SLOT, machine_of_item
+from coveflow.state.records import Records
+
+StoredAttempt = tuple[str, str, int, int]  # machine, job, task and attempt number
+TASKS_FIELD = 6  # of a machine's own record
+
+
+def stored_attempts(rows: list[tuple[str, Any, int]]) -> set[StoredAttempt]:
+    """Attempts in the slots among `rows` (key, value, revision); CorruptRecords as `load`."""
+    records = Records(SLOT, 0)
+    records.load([row for row in rows if row[0].startswith(SLOT)])
+    found: set[StoredAttempt] = set()
+    for item, value in records.values.items():
+        machine = machine_of_item(item)
+        if machine is None:
+            continue
+        tasks = value[TASKS_FIELD] if item.startswith(MACHINE) else value
+        for job, attempts in tasks.items():
+            for number, ranges in attempts:
+                found.update((machine, job, task, number) for task in decode_ranges(ranges))
+    return found
--- a/tests/test_report_handler.py
+++ b/tests/test_report_handler.py
@@ -364,9 +364,10 @@
 
     handler.owner.put, handler.store.commit = put, commit
     row = wire.mail_report_row(wire.read_report(cbor2.dumps(REPORT)))
-    mail = {"boot": "x", "alive": [], "reports": {"n-1": row, "n-2": row}}
+    mail = {"boot": "x", "alive": [], "reports": {"n-1": row, "n-2": row}, "number": 4}
     asyncio.run(handler.mail_reader.answer("c", mail))
-    assert written == [{"boot": "x", "answers": {"n-2": [1, 7, {"epoch": 3, "orders": []}]}}]
+    answers = {"n-2": [1, 7, {"epoch": 3, "orders": []}]}
+    assert written == [{"boot": "x", "answers": answers, "number": 4}]
 
 
 def test_reports_without_task_ends_are_mailed_less_often():
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -281,7 +281,7 @@
 
     monkeypatch.setattr(ReportAnswers, "orders", orders_before_commit)
     monkeypatch.setattr(ReportAnswers, "answer_or_hold", answer_at_once)
-    with pytest.raises(Broken, match="run after clear"):
+    with pytest.raises(Broken, match="clear before the commit"):
         provoke(60, lambda world, name, owner: None)
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,7 +19,9 @@
 from coveflow.daemon import owner as o
 from coveflow.lab.cloud import BootTimes, Cloud
 from coveflow.lab.store import Malformed, Store
+from coveflow.lab.stored_attempts import stored_attempts
 from coveflow.lab.truth import GroundTruth
+from coveflow.state import keys as sk
 from coveflow.whatif import world as w
 from tests.samples import flavor
 
@@ -177,6 +179,9 @@
                 key = (worker.name, worker.tenure, (order.job, order.task, order.number))
                 if order.verb == "clear":
                     self.cleared.add(key)
+                    attempt = (worker.name, order.job, order.task, order.number)
+                    if attempt in stored_attempts(self.rows(sk.SLOT)):
+                        raise Broken(f"clear before the commit of its end: {key}")
                 elif order.verb == "run" and key in self.cleared:
                     raise Broken(f"run after clear: {key}")
         super().answered(link, report, sent, epoch, orders)
