Only reports of this lead prove the exit of what this leader sent

Change: restored attempts are sent again as before. A report of an older epoch proves no exit of an attempt that this leader sent, which closes the same case (ran_twice) without that cost. The guard for later sessions is reverted: machines that receive nothing never learn the epoch.

--- a/coveflow/daemon/report_answers.py
+++ b/coveflow/daemon/report_answers.py
@@ -94,7 +94,8 @@
                 orders.append(Order("stop", *key, grace_s=p.grace_s))
         for p in m.placements.values():
             if p.committed and not p.stopping and p.key not in present:
-                if p.tenure != m.tenure or p.must_not_be_sent:
+                job = self.state.jobs[p.job]
+                if p.tenure != m.tenure or job.may_have_run_unreported(p):
                     continue
                 if self.inbox.cancelled(p.job):
                     continue  # the in-memory state may learn of the cancellation later
--- a/coveflow/daemon/reports.py
+++ b/coveflow/daemon/reports.py
@@ -17,7 +17,6 @@
 log = Log("coveflow.owner")
 
 ABSENT_AFTER_TAKEOVER = "not there after a change of the lead"
-VANISHED = "gone from its machine"
 
 
 def machine_fields(m: Machine) -> dict[str, Any]:
@@ -51,24 +50,12 @@
         if m.counter >= 0 and (report.tenure, report.counter) <= m.newest_report:
             self._answer_stale(m, report, reply)
             return
-        if report.tenure < m.tenure or self._proves_nothing_here(m, report):
+        if report.tenure < m.tenure:
             # The store records a later session, though this leader has no report of it yet.
             reply.set_result(self.context.encode_answer(state.leading, self.inbox.stops(report)))
             return
         self._apply_newer(m, command, now)
 
-    def _proves_nothing_here(self, m: Machine, report: Report) -> bool:
-        """Whether a later session is no evidence of the end of attempts that this leader sent.
-
-        A machine that carried out such a run order knows this epoch. Otherwise the report may be
-        older than the order, from a machine that has restarted under its first session since.
-        """
-        return (
-            report.tenure > m.tenure
-            and report.epoch < self.state.leading
-            and any(p.sent_with_report >= 0 for p in m.placements.values())
-        )
-
     def _apply_newer(self, m: Machine, command: ReportReceived, now: float) -> None:
         """Process a report newer than all earlier ones of the machine."""
         state, report, reply = self.state, command.report, command.reply
@@ -273,7 +260,7 @@
             key = (t.job, t.task, t.number)
             seen.add(key)
             p = m.placements.get(key)
-            if p is None:
+            if p is None or self._precedes_start(report, p):
                 continue
             if t.state == "exited":
                 has_ends = True
@@ -292,15 +279,21 @@
             # report is newer than the one whose answer last carried the run order.
             if report.epoch != self.state.leading or report.counter <= p.sent_with_report:
                 continue
-            if p.must_not_be_sent:
+            may_have_run = self.state.jobs[p.job].may_have_run_unreported(p)
+            if p.stopping or may_have_run:
                 has_ends = True
-                self.state.end(p, False, VANISHED if p.state else ABSENT_AFTER_TAKEOVER)
-                self.state.gang_ended(p, False)
-            elif p.stopping:
-                has_ends = True
-                self.state.end(p, False, "never started")
+                self.state.end(p, False, ABSENT_AFTER_TAKEOVER if may_have_run else "never started")
         return has_ends
 
+    def _precedes_start(self, report: Report, p: Placement) -> bool:
+        """Whether the report is older than the start of an attempt that this leader sent.
+
+        A machine that carried out the run order knows this leader's epoch. Without it, the report
+        is from a process of the machine that has restarted under an old session since, and proves
+        nothing of the attempt, even if it names an earlier start of it.
+        """
+        return p.sent_with_report >= 0 and report.epoch < self.state.leading
+
     def _apply_exit(self, m: Machine, p: Placement, why: str, saved: bool, now: float) -> None:
         job = self.state.jobs[p.job]
         done = why == "done"
