One grouping of a machine's attempts, one parser of its items; copies in a test

Read once more, behaviour as it was: - machine_records groups a machine's attempts once and returns all its records; two functions grouped them one after the other, on every commit. - machine_page is the one parser of machines' items, for restore, limits and the lab. - commit_with_retry has one check of earlier copies in place of two alike. - A slot's bound follows from the transaction's; the minimum of the two was always the one.

--- a/coveflow/core/machine_pages.py
+++ b/coveflow/core/machine_pages.py
@@ -33,33 +33,31 @@
     }
 
 
-def page_records(m: Machine, max_bytes: int) -> dict[int, Tasks]:
-    """The attempts of each further page (from 1), assigning pages so that each record fits.
+def machine_records(m: Machine, max_bytes: int) -> dict[int, Any]:
+    """The machine's own record (0) and those of its further pages, each of `max_bytes` at most.
 
     Every page that was ever used for the machine is included, empty or not: a page's record is
     removed only together with the machine.
     """
-    if not m.pages and _size(m.record(encode_tasks(list(m.placements.values())))) <= max_bytes:
-        return {}
+    if not m.pages:
+        record = m.record(encode_tasks(list(m.placements.values())))
+        if _size(record) <= max_bytes:
+            return {0: record}
     _assign_pages(m, max_bytes)
-    return {page: encode_tasks(attempts_on(m, page)) for page in range(1, m.pages + 1)}
+    pages = {page: encode_tasks(_attempts_on(m, page)) for page in range(m.pages + 1)}
+    return pages | {0: m.record(pages[0])}
 
 
-def attempts_on(m: Machine, page: int) -> list[Placement]:
+def _attempts_on(m: Machine, page: int) -> list[Placement]:
     return [p for p in m.placements.values() if p.page == page]
 
 
-def machine_record(m: Machine) -> list[Any]:
-    """The machine's own record, with the attempts of page 0."""
-    return m.record(encode_tasks(attempts_on(m, 0)))
-
-
 def _assign_pages(m: Machine, max_bytes: int) -> None:
     """Move attempts from pages that are too large to later ones; new ones are on page 0."""
     page = 0
     carried: list[Placement] = []
     while page <= m.pages or carried:
-        placements = [*attempts_on(m, page), *carried]
+        placements = [*_attempts_on(m, page), *carried]
         frame = _size(m.record({})) if page == 0 else 0
         room = max_bytes - frame - RECORD_FRAME_BYTES
         carried = []
--- a/coveflow/daemon/commits.py
+++ b/coveflow/daemon/commits.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from coveflow import constants as c
-from coveflow.core.machine_pages import machine_record, page_records
+from coveflow.core.machine_pages import machine_records
 from coveflow.core.model import Job, Machine, encode_ranges
 from coveflow.daemon.commands import AttemptEnd, CommitResult, HeldTasksDecision, Txn
 from coveflow.daemon.context import NodeContext
@@ -194,12 +194,12 @@
         """
         written = self.state.records
         max_bytes = written.slot_bytes - len(page_item(m.id, 0)) - MACHINE_ITEM_FRAME_BYTES
-        pages = page_records(m, max_bytes)
-        for page in sorted(pages, reverse=True):
+        records = machine_records(m, max_bytes)
+        for page in range(m.pages, 0, -1):
             item = page_item(m.id, page)
-            if written.values.get(item) != pages[page] and not draft.add(item, pages[page]):
+            if written.values.get(item) != records[page] and not draft.add(item, records[page]):
                 return False
-        return draft.add(page_item(m.id, 0), machine_record(m))
+        return draft.add(page_item(m.id, 0), records[0])
 
     def _add_finished(self, txn: Txn, draft: Draft, finish: list[Job], limit: int) -> None:
         riders = 0  # bytes of other interfaces' final records
--- a/coveflow/daemon/leader_state.py
+++ b/coveflow/daemon/leader_state.py
@@ -26,7 +26,7 @@
 )
 from coveflow.daemon.context import NodeContext
 from coveflow.logs import Log
-from coveflow.state.keys import SLOT, machine_of_item
+from coveflow.state.keys import SLOT, machine_page
 from coveflow.state.records import Records
 
 log = Log("coveflow.owner")
@@ -89,11 +89,11 @@
 
     def apply_write_limits(self) -> None:
         """Lay out the records by the limits of this moment; larger ones are written again."""
-        self.records.slot_bytes = min(self.limits.item_bytes, self.limits.txn_bytes)
+        self.records.slot_bytes = self.limits.item_bytes
         for item in self.records.larger_than_a_slot():
-            machine = machine_of_item(item)
-            if machine is not None and machine in self.machines:
-                self.dirty_machines[machine] = None
+            found = machine_page(item)
+            if found is not None and found[0] in self.machines:
+                self.dirty_machines[found[0]] = None
 
     # --- jobs and attempts -------------------------------------------------------------
 
--- a/coveflow/daemon/restore.py
+++ b/coveflow/daemon/restore.py
@@ -8,7 +8,7 @@
 from coveflow.daemon.inbox import Inbox
 from coveflow.daemon.leader_state import LeaderState
 from coveflow.logs import Log
-from coveflow.state.keys import ATTEMPT_FLOOR, CHUNK, HELD, HISTORY, MACHINE, PAGE
+from coveflow.state.keys import ATTEMPT_FLOOR, CHUNK, HELD, HISTORY, machine_page
 from coveflow.state.records import CorruptRecords
 
 log = Log("coveflow.owner")
@@ -43,11 +43,9 @@
     for item, value in state.records.values.items():
         _restore_progress(state, item, value)
     # After all jobs, as a machine may have attempts of any of them.
-    pages = _further_pages(state)
-    for item, value in state.records.values.items():
-        if item.startswith(MACHINE):
-            name = item[len(MACHINE) :]
-            _restore_machine(state, inbox, name, value, pages.get(name, {}), now)
+    for name, pages in _machine_pages(state).items():
+        if 0 in pages:
+            _restore_machine(state, inbox, name, pages, now)
     state.apply_write_limits()
     for job in state.jobs.values():
         _finalize_restored_job(state, job)
@@ -119,14 +117,10 @@
 
 
 def _restore_machine(
-    state: LeaderState,
-    inbox: Inbox,
-    name: str,
-    value: list[Any],
-    pages: dict[int, Any],
-    now: float,
+    state: LeaderState, inbox: Inbox, name: str, pages: dict[int, Any], now: float
 ) -> None:
-    owner, address, kind, zone, spot, tenure, tasks, *drained = value
+    """Restore a machine from its own record (page 0) and its further pages."""
+    owner, address, kind, zone, spot, tenure, tasks, *drained = pages[0]
     flavor = inbox.flavors.get(kind)
     if flavor is None:
         raise CorruptRecords(f"machine {name} has an unknown type")
@@ -136,19 +130,19 @@
     m.up = True
     m.drained = m.draining = bool(drained)
     state.machines[name] = m
-    m.pages = max(pages, default=0)
+    m.pages = max(pages)
     for page in sorted(pages, reverse=True):  # as a page gives attempts to later ones
-        _restore_attempts(state, m, page, pages[page], now)
-    _restore_attempts(state, m, 0, tasks, now)
+        _restore_attempts(state, m, page, pages[page] if page else tasks, now)
 
 
-def _further_pages(state: LeaderState) -> dict[str, dict[int, Any]]:
-    """The further pages of machines' attempts, by machine and page number."""
+def _machine_pages(state: LeaderState) -> dict[str, dict[int, Any]]:
+    """The records of machines and their further pages, by machine and page number."""
     found: dict[str, dict[int, Any]] = {}
     for item, value in state.records.values.items():
-        if item.startswith(PAGE):
-            machine, page = item[len(PAGE) :].rsplit("/", 1)
-            found.setdefault(machine, {})[int(page)] = value
+        place = machine_page(item)
+        if place is not None:
+            machine, page = place
+            found.setdefault(machine, {})[page] = value
     return found
 
 
--- a/coveflow/lab/stored_attempts.py
+++ b/coveflow/lab/stored_attempts.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from coveflow.core.model import decode_ranges
-from coveflow.state.keys import MACHINE, SLOT, machine_of_item
+from coveflow.state.keys import SLOT, machine_page
 from coveflow.state.records import Records
 
 StoredAttempt = tuple[str, str, int, int]  # machine, job, task and attempt number
@@ -18,10 +18,11 @@
     records.load([row for row in rows if row[0].startswith(SLOT)])
     found: set[StoredAttempt] = set()
     for item, value in records.values.items():
-        machine = machine_of_item(item)
-        if machine is None:
+        place = machine_page(item)
+        if place is None:
             continue
-        tasks = value[TASKS_FIELD] if item.startswith(MACHINE) else value
+        machine, page = place
+        tasks = value if page else value[TASKS_FIELD]
         for job, attempts in tasks.items():
             for number, ranges in attempts:
                 found.update((machine, job, task, number) for task in decode_ranges(ranges))
--- a/coveflow/state/keys.py
+++ b/coveflow/state/keys.py
@@ -30,11 +30,17 @@
     return f"{PAGE}{machine}/{page}" if page else MACHINE + machine
 
 
-def machine_of_item(item: str) -> str | None:
-    """The machine whose attempts the item holds; None for an item of a job."""
+def machine_page(item: str) -> tuple[str, int] | None:
+    """The machine and page whose attempts the item holds; None for an item of a job.
+
+    Raises ValueError if the page is no number.
+    """
     if item.startswith(MACHINE):
-        return item[len(MACHINE) :]
-    return item[len(PAGE) :].rsplit("/", 1)[0] if item.startswith(PAGE) else None
+        return item[len(MACHINE) :], 0
+    if not item.startswith(PAGE):
+        return None
+    machine, page = item[len(PAGE) :].rsplit("/", 1)
+    return machine, int(page)
 
 
 class View(msgspec.Struct, eq=False):
--- a/coveflow/state/store.py
+++ b/coveflow/state/store.py
@@ -218,16 +218,11 @@
         while True:
             try:
                 return await self._commit_hedged(transaction)
-            except Conflict:
-                if not may_be_applied:
+            except (Conflict, Refused) as failure:
+                if isinstance(failure, Conflict) and not may_be_applied:
                     raise
-                # An earlier copy may have been applied and be the cause of this conflict.
-                check = await self._check_applied(transaction, deadline)
-                if check.outcome is not Outcome.APPLIED:
-                    raise
-                return check.revision
-            except Refused:
-                # The limits may have fallen after an earlier copy was applied.
+                # An earlier copy may have been applied, and be the cause of this conflict, or the
+                # limits may have fallen after it.
                 check = await self._check_applied(transaction, deadline)
                 if check.outcome is not Outcome.APPLIED:
                     raise
--- a/coveflow/state/write_limits.py
+++ b/coveflow/state/write_limits.py
@@ -27,7 +27,7 @@
     @property
     def item_bytes(self) -> int:
         """Bytes of items that a value may carry; the rest is for framing and escapes."""
-        return int(self.value_bytes * c.SLOT_FILL_SHARE)
+        return min(int(self.value_bytes * c.SLOT_FILL_SHARE), self.txn_bytes)
 
     @property
     def txn_ops(self) -> int:
@@ -36,7 +36,7 @@
     @property
     def txn_bytes(self) -> int:
         """Bytes of items in all values of a transaction."""
-        return max(int(c.TXN_BYTES * self._share), self.item_bytes)
+        return int(c.TXN_BYTES * self._share)
 
     @property
     def at_minimum(self) -> bool:
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from coveflow.core.model import Order, Report
+from coveflow.core.model import Machine, Order, Report
 from coveflow.daemon.direct_requests import DirectRequests
 from coveflow.daemon.mailbox import Mailbox, PendingReport
 from coveflow.daemon.reports import Reports
@@ -46,9 +46,15 @@
             self.held.append((link, report, sent))
             return
         for node in self.names:
-            self.again("report", lambda node=node: w.World.deliver(self, link, report, sent, node))
+            self.again("report", lambda node=node: self._deliver_copy(link, report, sent, node))
         super().deliver(link, report, sent, target)
 
+    def _deliver_copy(self, link: w.WorkerLink, report: Report, sent: float, node: str) -> None:
+        """Deliver a copy to a node that leads; a redirect would not reach the worker."""
+        owner = self.owners.get(node)
+        if owner is not None and owner.leading:
+            w.World.deliver(self, link, report, sent, node)
+
     def deliver_held(self, node: str) -> None:
         for link, report, sent in self.held:
             w.World.deliver(self, link, report, sent, node)
@@ -140,6 +146,9 @@
     world.run(world.now + 60.0)
     if between == "cancelled":
         assert not world.running()
+    if between == "nothing" and restart == "none":
+        numbers = [a.number for link in world.workers for a in world.live(link)]
+        assert numbers == [1, 1, 1], "a running task was taken for ended"
     return world
 
 
@@ -277,6 +286,21 @@
 # --- a planted fault for each way ------------------------------------------------------------
 
 
+def plant_copies_applied(monkeypatch) -> None:
+    """Copies of reports count as new ones, and what is absent from any report is proven gone."""
+    real = Reports._apply_tasks
+
+    def apply(self, m, report, now, absence=True) -> bool:
+        listed = {(t.job, t.task, t.number) for t in report.tasks}
+        for p in [p for p in m.placements.values() if p.key not in listed]:
+            if p.sent_with_report >= 0:
+                self.state.end(p, False, "never started")
+        return real(self, m, report, now, absence)
+
+    monkeypatch.setattr(Machine, "newest_report", property(lambda self: (-1, -1)))
+    monkeypatch.setattr(Reports, "_apply_tasks", apply)
+
+
 def plant_older_exits_trusted(monkeypatch) -> None:
     """Reports from before a start prove its end."""
     monkeypatch.setattr(Reports, "_precedes_start", lambda self, report, p: False)
@@ -316,6 +340,9 @@
 
 
 PLANTED = {
+    "report: copies are applied": (
+        plant_copies_applied, lambda: play("report", "nothing", "none"),
+    ),
     "report: older exits are trusted": (plant_older_exits_trusted, play_late_exit),
     "transaction: no guards": (
         plant_transactions_without_guards, lambda: play("transaction", "moved", "controller"),
--- a/tests/test_write_limits.py
+++ b/tests/test_write_limits.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from coveflow import settings as s
-from coveflow.core.machine_pages import machine_record, page_records
+from coveflow.core.machine_pages import encode_tasks, machine_records
 from coveflow.core.model import Machine, Placement
 from coveflow.daemon.commits import Commits
 from coveflow.state import keys as sk
@@ -63,15 +63,12 @@
                 m.placements[p.key] = p
             else:
                 m.placements.pop(p.key, None)  # an attempt ends once
-        pages = page_records(m, max_bytes)
+        records = machine_records(m, max_bytes)
         kept = before & set(m.placements)
-        for page in sorted(pages, reverse=True):
-            written[page] = pages[page]
-            assert encoded_size("", pages[page]) <= max_bytes
+        for page in sorted(records, reverse=True):
+            written[page] = records[page] if page else records[0][6]
+            assert encoded_size("", records[page]) <= max_bytes
             assert kept <= attempts_in(written.values())
-        record = machine_record(m)
-        written[0] = record[6]
-        assert encoded_size("", record) <= max_bytes
         assert attempts_in(written.values()) == set(m.placements)
 
 
@@ -179,7 +176,10 @@
 
 
 def plant_unbounded_records(monkeypatch) -> None:
-    monkeypatch.setattr("coveflow.daemon.commits.page_records", lambda m, max_bytes: {})
+    def one_record(m: Machine, max_bytes: int) -> dict:
+        return {0: m.record(encode_tasks(list(m.placements.values())))}
+
+    monkeypatch.setattr("coveflow.daemon.commits.machine_records", one_record)
 
 
 def plant_unchanged_retries(monkeypatch) -> None:
