A transaction that fails for any reason is settled

Cause: since the node caught only the state service's refusal. Any other ValueError (writes without guards, a value that can't be encoded) left the owner waiting for its transaction: nothing would be committed any more. Found by reading; no caller saw it.

Change: every ValueError settles the transaction as refused, with its traceback.

Result: the new test fails without it (1 of 2 cases) and passes with it.

--- a/coveflow/daemon/node.py
+++ b/coveflow/daemon/node.py
@@ -33,7 +33,7 @@
 from coveflow.net.machines import MachineClient
 from coveflow.settings import Settings, Tuning, parse_address
 from coveflow.state import keys as sk
-from coveflow.state.store import Conflict, Refused, Store
+from coveflow.state.store import Conflict, Store
 
 log = Log("coveflow.node")
 
@@ -276,9 +276,10 @@
             self.owner.put(cm.CommitResult(txn, rev))
         except Conflict as conflict:
             self.owner.put(cm.CommitResult(txn, None, conflict.failed))
-        except Refused as refusal:
+        except ValueError:
+            # Refused, or not even sent: whatever it is, the owner must not wait for it for ever.
+            log.exception("transaction refused")
             self.owner.put(cm.CommitResult(txn, None, refused=True))
-            log.warning("transaction refused", changes=len(txn.writes), why=refusal)
 
     async def _still_leading(self) -> bool:
         """Check with a guarded commit that this node still leads by the store's current view.
--- a/tests/test_write_limits.py
+++ b/tests/test_write_limits.py
@@ -1,5 +1,8 @@
 """The leader's records under limits of the state service: large ones, and limits that fall."""
 
+import asyncio
+from types import SimpleNamespace
+
 import pytest
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
@@ -8,9 +11,12 @@
 from coveflow import settings as s
 from coveflow.core.machine_pages import encode_tasks, machine_records
 from coveflow.core.model import Machine, Placement
+from coveflow.daemon.commands import CommitResult, Txn
 from coveflow.daemon.commits import Commits
+from coveflow.daemon.node import Node
 from coveflow.state import keys as sk
 from coveflow.state.records import Draft, Records, encoded_size
+from coveflow.state.store import Refused
 from coveflow.state.write_limits import WriteLimits
 from tests.samples import flavor, spec
 from tests.world import World
@@ -162,6 +168,21 @@
     assert all(world.ended.get(name) == "done" for name in names)
 
 
+@pytest.mark.parametrize("error", [Refused("commit: 400"), ValueError("unguarded writes")])
+def test_a_transaction_that_fails_for_any_reason_is_settled(error):
+    """Guards against a leader that waits for ever for a transaction that was never sent."""
+    results: list[CommitResult] = []
+
+    async def fail(*_, **__) -> int:
+        raise error
+
+    node = SimpleNamespace(
+        store=SimpleNamespace(commit_with_retry=fail), owner=SimpleNamespace(put=results.append)
+    )
+    asyncio.run(Node._commit(node, Txn({}, {})))
+    assert [result.refused for result in results] == [True]
+
+
 def test_work_goes_on_when_limits_rise_that_were_below_what_one_record_needs():
     world = World(4, machines=2, limit=None)
     names = small_jobs(world, 20)
