An exclusion after failures is a preference with an end

Cause: both exclusions were decided by counts and had no way back. A job's list of machines was cleared only after three machines and half of all machines, also of those that it may not use; a suspected machine stayed so until it was empty. The room of listed machines still counted for reservations, so nothing was rented.

Change: core/exclusions.py says which machines a job may use and when an excluded one is tried again; starts, reservations, preemption, rentals and wait reasons ask it. Others go first; then one task (a gang whole), after a delay that doubles up to 60 s, 45 s for a machine that all jobs leave out. The exclusion ends when that task completes or has run for 10 s. A job at fault itself no longer counts against machines.

--- a/coveflow/constants.py
+++ b/coveflow/constants.py
@@ -219,7 +219,15 @@
 SUSPECT_TASKS = 2  # failures of one job that completes elsewhere before the machine is avoided
 ERROR_MACHINES = 3  # healthy machines on which a job failed before the job is at fault
 ERROR_BACKOFF_S = 2.0  # s; pause of a job that is at fault, doubled with each failure
-ERROR_BACKOFF_MAX_S = 60.0  # s
+ERROR_BACKOFF_MAX_S = 60.0  # s; upper limit, also for a machine that one job leaves out
+# s before a machine on which tasks failed is tried again, doubled with each retry that fails.
+RETRY_DELAY_S = 8.0
+# s; upper limit for a machine that all jobs leave out: while one job tries it the others wait on,
+# and no job may wait 90 s beside a machine with room.
+SUSPECT_RETRY_MAX_S = 45.0
+SUSPECT_WAIT_S = 20.0  # s that a job waits for another machine before it tries a suspected one
+RETRY_PRECEDENCE_S = 10.0  # s by which jobs without failures come first at a suspected machine
+RETRY_PROVEN_S = 10.0  # s that a retry must have run to prove its machine well
 # Consecutive answers without effect before a machine counts as not receiving: one may be lost.
 NOT_RECEIVING_MISSES = 3
 NOT_RECEIVING_MIN_S = 6.0  # s that they must span; a worker without answers reports every 5 s
--- a/coveflow/core/fleet.py
+++ b/coveflow/core/fleet.py
@@ -317,7 +317,12 @@
                 ):
                     left -= zone_counts.place_up_to(machine, left)
             on_demand = shortage.urgent or _fits_no_machine_up(
-                spec, [m for m in machines if m.zone not in unusable_zones]
+                spec,
+                [
+                    m
+                    for m in machines
+                    if m.zone not in unusable_zones and m.id not in shortage.excluded_machines
+                ],
             )
             if (
                 not on_demand
@@ -448,7 +453,9 @@
             m
             for m in machines
             if m.up
-            and not (m.returning or m.draining or m.suspect or m.answer_receipt.not_receiving)
+            and not (
+                m.returning or m.draining or m.failures.suspected or m.answer_receipt.not_receiving
+            )
             and m.ends_at is None
         ]
         candidates: list[tuple[float, Machine, list[Spec]]] = []
@@ -581,6 +588,7 @@
     return (
         m.up
         and not (m.returning or m.draining or m.answer_receipt.not_receiving)
+        and not m.failures.suspected
         and m.allows(spec)
     )
 
--- a/coveflow/core/pass_decisions.py
+++ b/coveflow/core/pass_decisions.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 
 from coveflow import constants as c
+from coveflow.core.exclusions import only_fails
 from coveflow.core.model import Job, Machine, Spec
 from coveflow.core.planner_state import PlannerState, tasks_by_zone, zone_limits
 from coveflow.core.timeline import EPS
@@ -25,11 +26,6 @@
     return not job.has_started and state.now - state.arrived_at[job.id] > c.FIRST_START_S
 
 
-def only_fails(job: Job) -> bool:
-    """Whether tasks of the job failed and none was completed yet."""
-    return bool(job.errors) and not job.done
-
-
 def first_share(spec: Spec) -> int:
     """Return how many tasks a job may start at first after a long wait."""
     return math.ceil(spec.tasks * c.FIRST_START_SHARE)
@@ -60,6 +56,7 @@
         # Placed and started tasks by job and zone, for jobs that are bound to zones.
         self._tasks_by_zone: dict[str, dict[str, int]] = {}
         self._zones: frozenset[str] | None = None  # all zones; collected on first use
+        self.retried: set[str] = set()  # jobs that try an excluded machine in this pass
         self.preempted: set[str] = set()  # jobs that start nothing more in this pass
         # Jobs with a start or a preemption in this pass. They are not preempted in it (again): the
         # starts would be stopped at once.
--- a/coveflow/core/placement.py
+++ b/coveflow/core/placement.py
@@ -8,6 +8,12 @@
 
 from coveflow.constants import EXPECTED_WORK_S, RESERVED_CAPACITY_WAIT_S, TIMELINE_STEP_S
 from coveflow.core.capacity_index import PoolKey, slowness
+from coveflow.core.exclusions import (
+    excluded_machines,
+    is_excluded,
+    next_retry_of_job,
+    next_retry_of_machine_by,
+)
 from coveflow.core.model import Job, Spec, max_tasks_per_zone
 from coveflow.core.pass_decisions import PassDecisions, first_share
 from coveflow.core.planner_state import CapacityView, PlannerState, pool_key
@@ -47,12 +53,13 @@
     that is kept for others, who may preempt it there.
     """
     chosen = _choose_machines(job, want, view, state, decisions, predicted_s, full, first, False)
-    waited_s = state.now - state.arrived_at[job.id]
-    if chosen or decisions.active(job) or waited_s < RESERVED_CAPACITY_WAIT_S:
+    if chosen:
         return chosen
-    if job.spec.kind != "gang":
-        want = min(want, first_share(job.spec))
-    return _choose_machines(job, want, view, state, decisions, predicted_s, full, first, True)
+    waited_s = state.now - state.arrived_at[job.id]
+    if not decisions.active(job) and waited_s >= RESERVED_CAPACITY_WAIT_S:
+        part = want if job.spec.kind == "gang" else min(want, first_share(job.spec))
+        chosen = _choose_machines(job, part, view, state, decisions, predicted_s, full, first, True)
+    return chosen or _choose_for_retry(job, want, view, state, decisions, predicted_s, full, first)
 
 
 def _choose_machines(
@@ -72,6 +79,48 @@
     needs_all_options = (
         spec.accelerators > 0 or spec.kind == "gang" or spec.one_zone
     )  # compares all options
+    eligible, spare = _eligible_pools(spec, size, view, state, predicted_s, full, first, lent)
+    leaving = [
+        capacity
+        for capacity in view.terminating
+        # A machine with a spot termination notice takes only tasks that it can still finish.
+        if capacity.machine.allows(spec)
+        and state.now + predicted_s * capacity.machine.slowdown < (capacity.machine.ends_at or 0.0)
+    ]
+    limits = _zone_limits(job, decisions)
+    if needs_all_options:
+        capacities = [capacity for key in eligible for capacity in view.pools[key].capacities]
+        options = _sorted_options(job, size, [*capacities, *leaving], view.tight, predicted_s)
+        view.steps += len(options)
+        if spec.kind == "gang":
+            chosen = _choose_for_gang(options, want, spec, spare, limits)
+        else:
+            if spec.one_zone and limits is not None:
+                options = _options_in_one_zone(options, limits)
+            chosen = _take_options(options, want, spare, limits)
+    else:
+        chosen = _take_options(
+            _lazy_options(job, size, view, eligible, leaving, predicted_s), want, spare, limits
+        )
+    for capacity, count in chosen:
+        view.allocate(capacity, spec, count)
+    return chosen
+
+
+def _eligible_pools(
+    spec: Spec,
+    size: Size,
+    view: CapacityView,
+    state: PlannerState,
+    predicted_s: float,
+    full: bool,
+    first: bool,
+    lent: bool,
+) -> tuple[list[PoolKey], dict[PoolKey, int]]:
+    """Return the pools that the job may start in, and how many tasks fit beside reservations.
+
+    A pool without an entry in the second result has no reservations of other jobs.
+    """
     eligible: list[PoolKey] = []
     spare: dict[PoolKey, int] = {}  # tasks that fit beside the reservations of other jobs
     for key, pool in view.pools.items():
@@ -106,34 +155,72 @@
         if spare.get(key, 1) <= 0:
             continue
         eligible.append(key)
-    leaving = [
+    return eligible, spare
+
+
+def _zone_limits(job: Job, decisions: PassDecisions) -> dict[str, int] | None:
+    """Return how many more tasks each zone may take; None if zones do not matter."""
+    if not (job.spec.one_zone or job.spec.spread):
+        return None
+    # By all tasks that may start, not only by those wanted now: otherwise the floor of its class, a
+    # task or two, would bind a large job to a zone in which the others do not fit.
+    return decisions.zone_limits(job, decisions.allowed(job))
+
+
+def _choose_for_retry(
+    job: Job,
+    want: int,
+    view: CapacityView,
+    state: PlannerState,
+    decisions: PassDecisions,
+    predicted_s: float,
+    full: bool,
+    first: bool,
+) -> list[tuple[MachineCapacity, int]]:
+    """Choose an excluded machine for one task, as no other machine has room; a gang starts whole.
+
+    The machine whose last failure is the oldest comes first.
+    """
+    spec, now = job.spec, state.now
+    arrived_at, failed_at = state.arrived_at[job.id], job.failures.failed_at
+    if job.id in decisions.retried or not (failed_at or view.retried):
+        return []
+    machines_due = next_retry_of_job(job, now) <= now
+    candidates = [
         capacity
-        for capacity in view.terminating
-        # A machine with a spot termination notice takes only tasks that it can still finish.
+        for capacity in view.retried.values()
         if capacity.machine.allows(spec)
-        and state.now + predicted_s * capacity.machine.slowdown < (capacity.machine.ends_at or 0.0)
+        and (machines_due or capacity.machine.id not in failed_at)
+        and next_retry_of_machine_by(job, capacity.machine, now, arrived_at) <= now
     ]
-    limits = None
-    if spec.one_zone or spec.spread:
-        # By all tasks that may start, not only by `want`: otherwise the floor of its class, a task
-        # or two, would bind a large job to a zone in which the others do not fit.
-        limits = decisions.zone_limits(job, decisions.allowed(job))
-    if needs_all_options:
-        capacities = [capacity for key in eligible for capacity in view.pools[key].capacities]
-        options = _sorted_options(job, size, [*capacities, *leaving], view.tight, predicted_s)
-        view.steps += len(options)
-        if spec.kind == "gang":
-            chosen = _choose_for_gang(options, want, spec, spare, limits)
-        else:
-            if spec.one_zone and limits is not None:
-                options = _options_in_one_zone(options, limits)
-            chosen = _take_options(options, want, spare, limits)
+    if machines_due:
+        own = (view.pooled(name) for name in failed_at)
+        candidates += [found for found in own if found and found.machine.allows(spec)]
+    size = view.size(spec)
+    candidates = [found for found in candidates if found.count_fitting(size) > 0]
+    if not candidates:
+        return []
+    eligible, spare = _eligible_pools(spec, size, view, state, predicted_s, full, first, False)
+    candidates = [
+        found
+        for found in candidates
+        if found.machine.failures.suspected or pool_key(found.machine) in eligible
+    ]
+    options = _sorted_options(job, size, candidates, view.tight, predicted_s, retry=True)
+    options.sort(key=lambda option: failed_at.get(option[1], -math.inf))
+    limits = _zone_limits(job, decisions)
+    if spec.kind == "gang":
+        others = [found for key in eligible for found in view.pools[key].capacities]
+        options = _sorted_options(job, size, others, view.tight, predicted_s) + options
+        chosen = _choose_for_gang(options, want, spec, spare, limits)
     else:
-        chosen = _take_options(
-            _lazy_options(job, size, view, eligible, leaving, predicted_s), want, spare, limits
-        )
+        chosen = _take_options(options, min(want, 1), spare, limits)
+    view.steps += len(options)
+    if chosen:
+        decisions.retried.add(job.id)
     for capacity, count in chosen:
         view.allocate(capacity, spec, count)
+        view.retried.pop(capacity.machine.id, None)
     return chosen
 
 
@@ -142,9 +229,14 @@
 
 
 def _sorted_options(
-    job: Job, size: Size, capacities: list[MachineCapacity], tight: bool, predicted_s: float
+    job: Job,
+    size: Size,
+    capacities: list[MachineCapacity],
+    tight: bool,
+    predicted_s: float,
+    retry: bool = False,
 ) -> list[Option]:
-    return sorted(_options(job, size, capacities, tight, predicted_s), key=_by_preference)
+    return sorted(_options(job, size, capacities, tight, predicted_s, retry), key=_by_preference)
 
 
 def _lazy_options(
@@ -185,7 +277,8 @@
             break
         count = min(count, want)
         key = pool_key(capacity.machine)
-        if key in spare and capacity.machine.ends_at is None:
+        pooled = capacity.machine.ends_at is None and not capacity.machine.failures.suspected
+        if key in spare and pooled:
             count = min(count, spare[key])
         if remaining is not None:
             count = min(count, remaining.get(capacity.machine.zone, 0))
@@ -225,16 +318,24 @@
 
 
 def _options(
-    job: Job, size: Size, capacities: Iterable[MachineCapacity], tight: bool, predicted_s: float
+    job: Job,
+    size: Size,
+    capacities: Iterable[MachineCapacity],
+    tight: bool,
+    predicted_s: float,
+    retry: bool = False,
 ) -> Iterator[Option]:
-    """Yield an option for each machine with capacity for a task, in the given order."""
+    """Yield an option for each machine with capacity for a task, in the given order.
+
+    Machines that the job leaves out are options of a `retry` only.
+    """
     spec = job.spec
     cpus = spec.cpus - EPS
     for capacity in capacities:
         if capacity.cpus < cpus:
             continue
         count = capacity.count_fitting(size)
-        if count > 0 and capacity.machine.id not in job.bad_machines:
+        if count > 0 and (retry or not is_excluded(job, capacity.machine)):
             yield (
                 preference(capacity, spec, tight, predicted_s),
                 capacity.machine.id,
@@ -292,6 +393,9 @@
     """
     spec = job.spec
     pools = [p for p in view.pools.values() if p.capacities[0].machine.allows(spec)]
+    if job.failures.failed_at:
+        excluded = excluded_machines(job)
+        pools = [p for p in (pool.without(excluded) for pool in pools) if p.capacities]
     buckets = max((pool.buckets for pool in pools), default=0)
     view.steps += buckets * len(pools)
     planned, late = state.now, 0
--- a/coveflow/core/planner.py
+++ b/coveflow/core/planner.py
@@ -11,9 +11,10 @@
 import msgspec
 
 from coveflow import constants as c
+from coveflow.core.exclusions import excluded_machines, only_fails
 from coveflow.core.feasibility import spread_is_impossible
 from coveflow.core.model import Job, Spec
-from coveflow.core.pass_decisions import PassDecisions, is_starved, only_fails
+from coveflow.core.pass_decisions import PassDecisions, is_starved
 from coveflow.core.placement import DEADLINE_SLACK, choose_machines, reserve_starts
 from coveflow.core.planner_state import (
     CapacityView,
@@ -46,6 +47,7 @@
     tasks_by_zone: dict[str, int] = {}  # the job's other tasks by zone, if it is bound to zones
     usable_zones: frozenset[str] | None = None  # zones that the job may still use; None: any
     has_started: bool = True  # whether any task of the job was ever placed on a machine
+    excluded_machines: frozenset[str] = frozenset()  # machines that the job leaves out
 
 
 class Plan(msgspec.Struct, eq=False):
@@ -280,6 +282,7 @@
                     dict(self.decisions.tasks_by_zone(job)),
                     _usable_zones(job, left, self.decisions),
                     self.decisions.has_started(job),
+                    excluded_machines(job),
                 )
             )
         if self.full and urgent:
--- a/coveflow/core/planner_state.py
+++ b/coveflow/core/planner_state.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from coveflow import constants as c
+from coveflow.core import exclusions
 from coveflow.core.capacity_index import CapacityIndex, PoolKey
 from coveflow.core.model import Flavor, Job, Machine, Spec, max_tasks_per_zone
 from coveflow.core.timeline import EPS, MachineCapacity, Pool, Size, count_fitting_size, size_of
@@ -97,6 +98,7 @@
     total_cpus: float = 0.0  # CPUs of the machines
     free_cpus: float = 0.0  # free CPUs of the machines
     terminating: list[MachineCapacity] = []  # machines with a spot termination notice
+    retried: dict[str, MachineCapacity] = {}  # suspected machines that may take one task now
     # Earliest reserved start in each pool, with or without accelerators, among jobs planned so far.
     first_reservations: dict[tuple[PoolKey, bool], float] = {}
     attempts_by_job: dict[str, Counter[PoolKey]] | None = None  # number of attempts by job and pool
@@ -110,6 +112,7 @@
     machine_share: dict[PoolKey, float] = {}  # pool's fraction of the machines with accelerators
     steps: int = 0
     index: CapacityIndex | None = None  # built on first use
+    by_machine: dict[str, MachineCapacity] | None = None  # built on first use
 
     def capacity_index(self) -> CapacityIndex:
         if self.index is None:
@@ -127,6 +130,16 @@
         else:
             capacity.allocate(spec, count)
 
+    def pooled(self, machine: str) -> MachineCapacity | None:
+        """Return the capacity of a machine that belongs to a pool."""
+        if self.by_machine is None:
+            self.by_machine = {
+                capacity.machine.id: capacity
+                for pool in self.pools.values()
+                for capacity in pool.capacities
+            }
+        return self.by_machine.get(machine)
+
     def size(self, spec: Spec) -> Size:
         return size_of(spec, bound=not fits_type_without_accelerators(spec, self.flavors))
 
@@ -232,16 +245,13 @@
     least -= EPS
     reserves: dict[str, AcceleratorUse] = {}
     for m in state.machines:
-        if (
-            not m.up
-            or m.returning
-            or m.draining
-            or m.suspect
-            or m.answer_receipt.excluded_from_work
-        ):
+        if not m.up or m.returning or m.draining or m.answer_receipt.excluded_from_work:
             continue
-        found.total_cpus += m.flavor.cpus
-        found.free_cpus += m.cpus
+        if m.failures.suspected and (m.ends_at or exclusions.next_retry_of_machine(m, now) > now):
+            continue
+        if not m.failures.suspected:
+            found.total_cpus += m.flavor.cpus
+            found.free_cpus += m.cpus
         if not future and m.cpus < least and m.flavor.accelerators <= 0:
             continue
         reserve = reserves.get(m.flavor.name)
@@ -255,6 +265,9 @@
         if m.ends_at is not None:
             found.terminating.append(capacity)
             continue
+        if m.failures.suspected:
+            found.retried[m.id] = capacity
+            continue
         key = pool_key(m)
         pool = found.pools.get(key)
         if pool is None:
--- a/coveflow/core/preemption.py
+++ b/coveflow/core/preemption.py
@@ -5,6 +5,7 @@
 import math
 from collections import Counter
 
+from coveflow.core.exclusions import is_excluded
 from coveflow.core.model import Job, Spec, max_tasks_per_zone
 from coveflow.core.pass_decisions import PassDecisions
 from coveflow.core.planner_state import (
@@ -106,7 +107,7 @@
     usable_pools = {
         key
         for key, m in view.sample_machines.items()
-        if m.allows(spec) and limits.get(m.zone, 0) > 0
+        if m.allows(spec) and limits.get(m.zone, 0) > 0 and _may_use_pool(job, key, view)
     }
     if view.stopping_pools & usable_pools:
         return []  # earlier stops are still releasing capacity; wait for their result
@@ -160,6 +161,14 @@
     return chosen
 
 
+def _may_use_pool(job: Job, key: PoolKey, view: CapacityView) -> bool:
+    """Whether the job does not leave out all machines of the pool."""
+    if not job.failures.failed_at:
+        return True
+    pool = view.pools.get(key)
+    return pool is not None and any(not is_excluded(job, m.machine) for m in pool.capacities)
+
+
 def _count_freed_tasks(victim: Spec, count: int, spec: Spec) -> int:
     """Return how many tasks of the waiting job can replace `count` tasks of the victim, at most.
 
--- a/coveflow/core/timeline.py
+++ b/coveflow/core/timeline.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 
 import msgspec
 
@@ -106,6 +106,7 @@
 
     def __init__(self, now: float, buckets: int, reserve: tuple[float, float] = (0.0, 0.0)) -> None:
         self.now, self.buckets, self.reserve = now, buckets, reserve
+        self.whole: Pool | None = None  # of which this one is a part; see `without`
         self.capacities: list[MachineCapacity] = []
         self.reservations: list[Reservation] = []
         self.fit_counts: dict[Size, list[int]] = {}
@@ -226,7 +227,23 @@
                 span = (low, high) if old is None else (min(low, old[0]), max(high, old[1]))
                 self.stale_ranges[size] = span
 
+    def without(self, machines: Set[str]) -> Pool:
+        """Return the part of the pool without these machines; itself if it has none of them.
+
+        All reservations of the pool count against the part. It is valid until the next change of
+        the pool; reservations that are added to it go to the whole pool.
+        """
+        capacities = [found for found in self.capacities if found.machine.id not in machines]
+        if len(capacities) == len(self.capacities):
+            return self
+        part = Pool(self.now, self.buckets, self.reserve)
+        part.capacities, part.reserved, part.whole = capacities, self.reserved, self
+        return part
+
     def add_reservation(self, reservation: Reservation) -> None:
+        if self.whole is not None:
+            self.whole.add_reservation(reservation)
+            return
         self.reservations.append(reservation)
         self._add_reserved(reservation)
 
--- a/coveflow/core/wait_reasons.py
+++ b/coveflow/core/wait_reasons.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from coveflow.core.exclusions import is_excluded
 from coveflow.core.model import Flavor, Job, Machine
 from coveflow.core.pass_decisions import count_within_limit
 from coveflow.core.timeline import count_fitting
@@ -16,6 +17,7 @@
 CLOUD_REFUSED = "the cloud has no more machines for it"
 NO_MACHINE_UP = "no machine that it may use is up"
 MACHINES_FULL = "machines it may use are full"
+EXCLUDED = "the machines with room are left out after failures"
 PLACED = "placed, its machine has not begun it"
 
 
@@ -64,6 +66,9 @@
     if usable:
         if spec.kind == "gang" and sum(m.fits(spec) for m in usable):
             return GANG_DOES_NOT_FIT
+        with_room = [m for m in usable if m.fits(spec)]
+        if with_room and all(is_excluded(job, m) for m in with_room):
+            return EXCLUDED
         return MACHINES_FULL
     if kinds and all(refused_until.get(key, 0.0) > now for key in kinds):
         return CLOUD_REFUSED
--- a/coveflow/daemon/machine_manager.py
+++ b/coveflow/daemon/machine_manager.py
@@ -131,7 +131,7 @@
         suspects = [
             m.id
             for m in self.state.machines.values()
-            if m.suspect and not m.placements and not m.returning
+            if m.failures.suspected and not m.placements and not m.returning
         ]
         if suspects:
             self.return_machines(suspects, "suspected faulty")
--- a/coveflow/daemon/reports.py
+++ b/coveflow/daemon/reports.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import Any
 
 from coveflow import constants as c
+from coveflow.core import exclusions
 from coveflow.core.model import Job, Machine, Placement, Report
 from coveflow.daemon.commands import ReportReceived
 from coveflow.daemon.context import NodeContext
@@ -283,6 +285,7 @@
             if p.stopping or may_have_run:
                 has_ends = True
                 self.state.end(p, False, ABSENT_AFTER_TAKEOVER if may_have_run else "never started")
+        self._count_proven_runs(m, now)
         return has_ends
 
     def _precedes_start(self, report: Report, p: Placement) -> bool:
@@ -310,39 +313,29 @@
             job.run_count += 1
         self.state.end(p, done, why, saved)
         self.state.gang_ended(p, done, why)
-        if done and p.placed_at > m.failed_at:
-            m.failed_jobs.clear()  # it completes tasks that it starts
+        if done:
+            exclusions.record_completion(job, m, p, now)
         elif why == "error":
-            self._count_failure(m, job, now)
+            self._count_failure(m, job, p, now)
         elif why in ("full", "busy", "unknown"):
             job.not_before = max(job.not_before, now + 1.0)
 
-    def _count_failure(self, m: Machine, job: Job, now: float) -> None:
-        """Count a task's failure against its machine or, if it fails on any machine, its job.
+    def _count_failure(self, m: Machine, job: Job, p: Placement, now: float) -> None:
+        if exclusions.record_failure(job, m, p, self.state.machines.values(), now):
+            failures = m.failures.jobs
+            log.warning("machine suspected", machine=m.id, failed_jobs=len(failures))
+            self.state.tell("suspected", machine=m.id, failures=dict(failures))
 
-        A machine that fails every task immediately is always free and attracts all the work; the
-        jobs, delayed because of these failures, would wait for up to a minute.
-        """
-        machines = self.state.machines
-        job.bad_machines.add(m.id)
-        m.failed_at = now
-        if not job.errors:
-            m.failed_jobs[job.id] = m.failed_jobs.get(job.id, 0) + 1
-        fails_one_job = bool(job.done) and m.failed_jobs.get(job.id, 0) >= c.SUSPECT_TASKS
-        if not m.suspect and (len(m.failed_jobs) >= c.SUSPECT_JOBS or fails_one_job):
-            m.suspect = True
-            log.warning("machine suspected", machine=m.id, failed_jobs=len(m.failed_jobs))
-            self.state.tell("suspected", machine=m.id, failures=dict(m.failed_jobs))
-        healthy = [n for n in job.bad_machines if n in machines and not machines[n].suspect]
-        if job.done or now < job.not_before:
-            return  # tasks that fail together count once
-        if job.errors or len(healthy) >= c.ERROR_MACHINES:
-            job.errors += 1
-            job.not_before = now + min(
-                c.ERROR_BACKOFF_S * 2 ** min(job.errors, 10), c.ERROR_BACKOFF_MAX_S
-            )
-            if len(job.bad_machines) >= max(c.ERROR_MACHINES, len(machines) // 2):
-                job.bad_machines.clear()  # it fails on all machines, so none is at fault
+    def _count_proven_runs(self, m: Machine, now: float) -> None:
+        """End exclusions of the machine once an attempt placed after them has run long enough."""
+        if m.failures.last_at == -math.inf:
+            return
+        suspected = m.failures.suspected
+        for p in m.placements.values():
+            exclusions.record_running(self.state.jobs[p.job], m, p, now)
+        if suspected and not m.failures.suspected:
+            log.info("machine no longer suspected", machine=m.id)
+            self.state.pass_due = True
 
     def _apply_notice(self, m: Machine, notice_s: float, now: float) -> None:
         """Record when the cloud reclaims the machine; repeated notices differ slightly."""
