A later session counts only if this process can have told of it

What callers could see: a task on two machines.

Cause: any later session was taken as proof that all attempts before it were killed.

--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -339,11 +339,17 @@
     monkeypatch.setattr(Mailbox, "deliver", deliver)
 
 
+def plant_later_sessions_trusted(monkeypatch) -> None:
+    """A later session ends all attempts, whichever process tells of it."""
+    monkeypatch.setattr(Reports, "_may_be_of_earlier_process", lambda *_: False)
+
+
 PLANTED = {
     "report: copies are applied": (
         plant_copies_applied, lambda: play("report", "nothing", "none"),
     ),
     "report: older exits are trusted": (plant_older_exits_trusted, play_late_exit),
+    "report: later sessions are trusted": (plant_later_sessions_trusted, play_late_session),
     "transaction: no guards": (
         plant_transactions_without_guards, lambda: play("transaction", "moved", "controller"),
     ),
