An attempt that its machine showed and lacks now is not sent again under its number

What callers could see: a task on two machines, under one leader. Its machine restarted within its session and counted its reports from one; once they passed the old ones the leader saw the machine without the task and sent the start again under the same number.

Change: a start goes again only while no report has shown the attempt.

--- a/coveflow/core/model.py
+++ b/coveflow/core/model.py
@@ -168,6 +168,7 @@
     stopping: bool = False
     grace_s: float = 0.0
     overrun: int = 0
+    missing_since: float | None = None  # since when reports lack it after earlier ones showed it
     page: int = 0  # of the machine's records that holds it
 
     @property
--- a/coveflow/daemon/report_answers.py
+++ b/coveflow/daemon/report_answers.py
@@ -97,6 +97,8 @@
                 job = self.state.jobs[p.job]
                 if p.tenure != m.tenure or job.may_have_run_unreported(p):
                     continue
+                if p.state:
+                    continue  # it ran, so a late report can prove the end of this number
                 if self.inbox.cancelled(p.job):
                     continue  # the in-memory state may learn of the cancellation later
                 orders.append(Order("run", *p.key))
--- a/coveflow/daemon/reports.py
+++ b/coveflow/daemon/reports.py
@@ -19,6 +19,7 @@
 log = Log("coveflow.owner")
 
 ABSENT_AFTER_TAKEOVER = "not there after a change of the lead"
+GONE_AFTER_RESTART = "its machine restarted without it"
 
 
 def machine_fields(m: Machine) -> dict[str, Any]:
@@ -189,6 +190,8 @@
         ignored and pending answers are not affected. A duplicate of the report whose answer is
         deferred (a home resends it after seeing no answer) receives the same answer.
         """
+        if report.tenure == m.tenure:
+            self._count_seen(m, report)
         pending = self.state.pending_answers.get(m.id)
         if pending is not None and (report.tenure, report.counter) == m.newest_report:
             pending.duplicates.append(reply)
@@ -289,6 +292,8 @@
             key = (t.job, t.task, t.number)
             seen.add(key)
             p = m.placements.get(key)
+            if p is not None:
+                p.missing_since = None
             if p is None or self._precedes_start(report, p):
                 continue
             if t.state == "exited":
@@ -308,6 +313,9 @@
             # report is newer than the one whose answer last carried the run order.
             if report.epoch != self.state.leading or report.counter <= p.sent_with_report:
                 continue
+            if p.state and not p.stopping:
+                has_ends |= self._count_missing(p, now)
+                continue
             may_have_run = self.state.jobs[p.job].may_have_run_unreported(p)
             if p.stopping or may_have_run:
                 has_ends = True
@@ -315,6 +323,28 @@
         self._count_proven_runs(m, now)
         return has_ends
 
+    def _count_missing(self, p: Placement, now: float) -> bool:
+        """End an attempt that its machine showed before and lacks now: the machine restarted.
+
+        The restarted process counts its reports from one, so late reports of the earlier process
+        can pass for its own. The attempt ends if none shows it for as long as a report takes.
+        Returns whether it ended.
+        """
+        if p.missing_since is None:
+            p.missing_since = now
+        if now - p.missing_since < self._next_report_within_s:
+            return False
+        self.state.end(p, False, GONE_AFTER_RESTART)
+        self.state.gang_ended(p, False)
+        return True
+
+    def _count_seen(self, m: Machine, report: Report) -> None:
+        """Note attempts that an older report shows; it may be of a process that counts anew."""
+        for t in report.tasks:
+            p = m.placements.get((t.job, t.task, t.number))
+            if p is not None and t.state != "exited":
+                p.missing_since = None
+
     def _precedes_start(self, report: Report, p: Placement) -> bool:
         """Whether the report is older than the start of an attempt that this leader sent.
 
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -237,6 +237,33 @@
     play_late_session()
 
 
+def play_late_exit_under_one_leader() -> None:
+    """The machine restarts in its session; its counter passes that of its last report in time."""
+    world = CopiedMessages(machines=2)
+    link = start_job(world, tasks=1)
+    world.until(lambda: world.leader().state.jobs[JOB].placed[0].state == "running")
+    world.hold.add(link.worker.name)
+    held_from = world.now
+    world.until(lambda: world.now > held_from + 3.0)
+    link.worker.counter += 8  # answers to direct requests, none of which arrived
+    world.fail_task(link)
+    world.until(lambda: any(t.state == "exited" for _, r, _ in world.held for t in r.tasks))
+    world.restart_worker(link, True)
+    link.worker.counter = world.held[0][1].counter - 1
+    world.hold.clear()
+    world.until(world.running)
+    world.run(world.now + 1.0)
+    world.deliver_held(world.leader().context.settings.name)
+    world.run(world.now + 60.0)
+    assert world.running()
+
+
+def test_a_late_exit_of_an_earlier_process_frees_no_task_under_one_leader():
+    """Guards against a task on two machines: its machine restarted in its session, the leader sent
+    the start again under the same number, and a late report told of the first start's end."""
+    play_late_exit_under_one_leader()
+
+
 def deliver_batch_answer(answer_to: int, waiting: int) -> bytes | None:
     """What a home passes on of the leader's answer to a report, while another one waits."""
 
