The exit of an attempt that was sent again counts once it is still reported

What callers could see: a task on two machines, under one leader. A machine got a start, its task ended, and it restarted within its session before any report of either arrived.

Cause: an exit in a newer report is taken for that of the last start. A leader can't tell a lost answer from a restart, so it sends starts again.

Change: for an attempt whose start went in answers to several reports, an exit counts if it is reported for one and a half report intervals and no report, old or new, shows the attempt meanwhile; a machine repeats its exit until it is cleared. Other attempts are as before.

--- a/coveflow/core/model.py
+++ b/coveflow/core/model.py
@@ -168,6 +168,8 @@
     stopping: bool = False
     grace_s: float = 0.0
     overrun: int = 0
+    sent_again: bool = False  # this leader sent the run order in answers to several reports
+    exit_seen_at: float | None = None  # first report of an exit that is not confirmed yet
     missing_since: float | None = None  # since when reports lack it after earlier ones showed it
     page: int = 0  # of the machine's records that holds it
 
--- a/coveflow/daemon/report_answers.py
+++ b/coveflow/daemon/report_answers.py
@@ -109,6 +109,7 @@
                         )
                         waited = self.context.clock() - p.placed_at
                         self.context.meters.record_duration("placed to told", waited)
+                    p.sent_again |= 0 <= p.sent_with_report < report.counter
                     p.sent_with_report = report.counter
         return orders
 
--- a/coveflow/daemon/reports.py
+++ b/coveflow/daemon/reports.py
@@ -293,10 +293,12 @@
             seen.add(key)
             p = m.placements.get(key)
             if p is not None:
-                p.missing_since = None
+                self._note_shown(p, t.state)
             if p is None or self._precedes_start(report, p):
                 continue
             if t.state == "exited":
+                if not self._is_exit_proven(p, now):
+                    continue
                 has_ends = True
                 self._apply_exit(m, p, t.why or "", t.saved, now)
                 continue
@@ -338,12 +340,32 @@
         self.state.gang_ended(p, False)
         return True
 
+    def _is_exit_proven(self, p: Placement, now: float) -> bool:
+        """Whether a reported exit is of the last start that was sent.
+
+        A start is sent again if a report lacks it: its answer was lost, or the machine carried it
+        out and restarted. Then an exit may be told by a late report of the earlier process. The
+        machine repeats its own exit until it is cleared, so one counts if it is still reported,
+        and no report shows the attempt, after as long as a report takes.
+        """
+        if not p.sent_again:
+            return True
+        if p.exit_seen_at is None:
+            p.exit_seen_at = now
+        return now - p.exit_seen_at >= self._next_report_within_s
+
+    def _note_shown(self, p: Placement, state: str) -> None:
+        """Note that a report shows the attempt in this state."""
+        p.missing_since = None
+        if state != "exited":
+            p.exit_seen_at = None
+
     def _count_seen(self, m: Machine, report: Report) -> None:
         """Note attempts that an older report shows; it may be of a process that counts anew."""
         for t in report.tasks:
             p = m.placements.get((t.job, t.task, t.number))
             if p is not None and t.state != "exited":
-                p.missing_since = None
+                self._note_shown(p, t.state)
 
     def _precedes_start(self, report: Report, p: Placement) -> bool:
         """Whether the report is older than the start of an attempt that this leader sent.
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -264,6 +264,38 @@
     play_late_exit_under_one_leader()
 
 
+def play_late_exit_of_an_attempt_never_shown() -> None:
+    """As above, but no report of the first process that shows the attempt arrives in time."""
+    world = CopiedMessages(machines=2)
+    world.at(1.0, lambda: world.submit(spec(JOB, tasks=1)))
+    while not world.running():
+        assert world.now < 60.0
+        for link in world.workers:
+            if any(attempt.job == JOB for attempt in link.worker.tasks.values()):
+                world.hold.add(link.worker.name)
+        world.run(world.now + 0.01)
+    link = world.running()
+    assert not world.leader().state.jobs[JOB].placed[0].state
+    counter = link.worker.counter
+    link.worker.counter += 8  # answers to direct requests, none of which arrived
+    world.fail_task(link)
+    world.until(lambda: any(t.state == "exited" for _, r, _ in world.held for t in r.tasks))
+    world.restart_worker(link, True)
+    link.worker.counter = counter
+    world.hold.clear()
+    world.until(world.running)
+    world.run(world.now + 1.0)
+    world.deliver_held(world.leader().context.settings.name)
+    world.run(world.now + 60.0)
+    assert world.running()
+
+
+def test_a_late_exit_of_an_attempt_never_shown_frees_no_task_that_was_sent_again():
+    """Guards against a task on two machines: its start and its end were in reports still on their
+    way when the machine restarted and got the start again under the same number."""
+    play_late_exit_of_an_attempt_never_shown()
+
+
 def deliver_batch_answer(answer_to: int, waiting: int) -> bytes | None:
     """What a home passes on of the leader's answer to a report, while another one waits."""
 
@@ -371,12 +403,20 @@
     monkeypatch.setattr(Reports, "_may_be_of_earlier_process", lambda *_: False)
 
 
+def plant_exits_trusted_at_once(monkeypatch) -> None:
+    """An exit of an attempt that was sent again counts with the first report of it."""
+    monkeypatch.setattr(Reports, "_is_exit_proven", lambda *_: True)
+
+
 PLANTED = {
     "report: copies are applied": (
         plant_copies_applied, lambda: play("report", "nothing", "none"),
     ),
     "report: older exits are trusted": (plant_older_exits_trusted, play_late_exit),
     "report: later sessions are trusted": (plant_later_sessions_trusted, play_late_session),
+    "report: exits are trusted at once": (
+        plant_exits_trusted_at_once, play_late_exit_of_an_attempt_never_shown,
+    ),
     "transaction: no guards": (
         plant_transactions_without_guards, lambda: play("transaction", "moved", "controller"),
     ),
