--- a/coveflow/daemon/reports.py
+++ b/coveflow/daemon/reports.py
@@ -57,30 +57,8 @@
             # The store records a later session, though this leader has no report of it yet.
             reply.set_result(self.context.encode_answer(state.leading, self.inbox.stops(report)))
             return
-        if self._may_be_of_earlier_process(m, report, now):
-            self._answer_stale(m, report, reply)
-            return
         self._apply_newer(m, command, now)
 
-    def _may_be_of_earlier_process(self, m: Machine, report: Report, now: float) -> bool:
-        """Whether a later session is told by a process that may have ended before this one began.
-
-        A machine that restarts begins with its first session again, while a report of a former,
-        later session may still be on its way. A process never forgets the highest epoch that it has
-        seen: once the machine has named this leader's epoch, a later session without it is of
-        an earlier process. If it has not named the epoch yet but may have received a start, it does
-        so in its next report; without one, it does not hear, and its later session counts.
-        """
-        if report.tenure <= m.tenure or report.epoch >= self.state.leading or m.counter < 0:
-            return False
-        if m.epoch >= self.state.leading:
-            return True
-        if all(p.sent_with_report < 0 for p in m.placements.values()):
-            return False
-        if m.unconfirmed_session != report.tenure:
-            m.unconfirmed_session, m.unconfirmed_since = report.tenure, now
-        return now - m.unconfirmed_since < self._next_report_within_s
-
     @property
     def _next_report_within_s(self) -> float:
         """s within which a machine that is reachable reports again."""
